--- /dev/null
+++ b/crates/poplartrail-core/src/call/life.rs
@@ -0,0 +1,202 @@
+//! The life of a call as types, so that a wrong "not run" does not compile.
+//!
+//! ```text
+//! Arrived --admit--> Admitted --dispatch--> Dispatched --answer--> Outcome::Answered
+//!    |                  |                        '-------lose----> Outcome::Unknown
+//!    |                  '--refuse--> Outcome::NotRun
+//!    |--refuse--> Outcome::NotRun
+//!    '--send--> Sent --answer, not_run, lose--> Outcome
+//! ```
+
+use std::time::Duration;
+
+use crate::{
+    call::{Answer, Context, Doubt, Effect, NotRun, Outcome, Payload, Refusal, Unknown},
+    names::{ServiceName, VmName},
+    time::Time,
+};
+
+/// The call has been received and nothing has been decided.
+#[derive(Debug)]
+pub struct Arrived(());
+
+/// The gate has given the call a place, and nothing has been sent.
+#[derive(Debug)]
+pub struct Admitted(());
+
+/// The call has been handed to the upstream and may have run.
+#[derive(Debug)]
+pub struct Dispatched {
+    /// When the call was handed over.
+    pub at: Time,
+}
+
+/// The call has been handed to the node of another instance.
+#[derive(Debug)]
+pub struct Sent {
+    /// When the call was handed over.
+    pub at: Time,
+}
+
+/// Proof that not one byte of a call was written to the upstream.
+///
+/// An adapter makes it when no connection could be opened.
+#[derive(Debug, Clone, Copy)]
+pub struct NothingWritten(());
+
+impl NothingWritten {
+    /// States that no connection to the upstream could be opened for the call.
+    pub fn no_connection() -> Self {
+        Self(())
+    }
+}
+
+mod sealed {
+    pub trait Sealed {}
+    impl Sealed for super::Arrived {}
+    impl Sealed for super::Admitted {}
+}
+
+/// States in which the call has certainly not run.
+pub trait BeforeDispatch: sealed::Sealed {}
+
+impl BeforeDispatch for Arrived {}
+impl BeforeDispatch for Admitted {}
+
+/// A call in the state `S`.
+///
+/// Use the transitions to move a call on. Each consumes the call, so it ends once.
+#[derive(Debug)]
+pub struct Call<S> {
+    service: ServiceName,
+    context: Context,
+    payload: Payload,
+    state: S,
+}
+
+impl<S> Call<S> {
+    /// The service that the call is for.
+    pub fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
+    /// Identity, urgency and time of the call.
+    pub fn context(&self) -> &Context {
+        &self.context
+    }
+
+    /// The content of the request.
+    pub fn payload(&self) -> &Payload {
+        &self.payload
+    }
+
+    /// What the state holds.
+    pub fn state(&self) -> &S {
+        &self.state
+    }
+
+    fn with_state<T>(self, state: T) -> Call<T> {
+        Call { service: self.service, context: self.context, payload: self.payload, state }
+    }
+}
+
+impl Call<Arrived> {
+    /// A call as a front end received it.
+    pub fn arrived(service: ServiceName, context: Context, payload: Payload) -> Self {
+        Self { service, context, payload, state: Arrived(()) }
+    }
+
+    /// Gives the call a place at the gate.
+    #[must_use]
+    pub fn admit(self) -> Call<Admitted> {
+        self.with_state(Admitted(()))
+    }
+
+    /// Hands the call to the node of another instance.
+    pub fn send(self, at: Time) -> Call<Sent> {
+        self.with_state(Sent { at })
+    }
+}
+
+impl Call<Admitted> {
+    /// Gives the place up, so that the call can be sent elsewhere.
+    #[must_use]
+    pub fn give_up_place(self) -> Call<Arrived> {
+        self.with_state(Arrived(()))
+    }
+
+    /// Hands the call to the upstream.
+    pub fn dispatch(self, at: Time) -> Call<Dispatched> {
+        self.with_state(Dispatched { at })
+    }
+}
+
+impl<S: BeforeDispatch> Call<S> {
+    /// Refuses the call; `by` is the node whose gate refuses.
+    pub fn refuse(self, reason: Refusal, retry_after: Option<Duration>, by: VmName) -> NotRun {
+        NotRun::new(reason, retry_after, by)
+    }
+}
+
+impl<S: BeforeDispatch> Call<S> {
+    /// Ends the call with "unknown": an earlier call with the same key may have run.
+    pub fn doubt(self, doubt: Doubt) -> Unknown {
+        Unknown { doubt }
+    }
+
+    /// Ends the call with the answer that an earlier call with the same key got.
+    pub fn repeat_answer(self, answer: Answer) -> Outcome {
+        Outcome::Answered(answer)
+    }
+}
+
+impl Call<Dispatched> {
+    /// Takes the call back, because it demonstrably never reached the upstream.
+    pub fn take_back(self, _proof: NothingWritten) -> Call<Admitted> {
+        self.with_state(Admitted(()))
+    }
+
+    /// Takes an idempotent call back after its answer was lost, to run it again.
+    ///
+    /// Returns the lost call unchanged if a second run would do harm.
+    pub fn take_back_idempotent(self) -> Result<Call<Arrived>, Call<Dispatched>> {
+        match self.context.effect {
+            Effect::Idempotent => Ok(self.with_state(Arrived(()))),
+            Effect::Once(_) => Err(self),
+        }
+    }
+
+    /// Ends the call with the upstream's answer.
+    pub fn answer(self, answer: Answer) -> Outcome {
+        Outcome::Answered(answer)
+    }
+
+    /// Ends the call without an answer.
+    pub fn lose(self, doubt: Doubt) -> Outcome {
+        Outcome::Unknown(Unknown { doubt })
+    }
+}
+
+impl Call<Sent> {
+    /// Ends the call with the answer that the other node passed on.
+    pub fn answer(self, answer: Answer) -> Outcome {
+        Outcome::Answered(answer)
+    }
+
+    /// Ends the call with the other node's statement that it did not run.
+    ///
+    /// The other node made the statement from a call in a state before dispatch.
+    pub fn not_run(self, reason: Refusal, retry_after: Option<Duration>, by: VmName) -> NotRun {
+        NotRun::new(reason, retry_after, by)
+    }
+
+    /// Ends the call without an answer.
+    pub fn lose(self, doubt: Doubt) -> Outcome {
+        Outcome::Unknown(Unknown { doubt })
+    }
+
+    /// Takes the call back after a "not run" or, for idempotent work, after a lost answer.
+    pub fn take_back(self) -> Call<Arrived> {
+        self.with_state(Arrived(()))
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/call/mod.rs
@@ -0,0 +1,17 @@
+//! A call and its life: what travels with it, how it ends, and which endings are possible when.
+
+mod answer;
+mod budget;
+mod context;
+mod life;
+mod outcome;
+mod payload;
+mod share;
+
+pub use answer::Answer;
+pub use budget::RetryBudget;
+pub use context::{Context, Effect, RequestId};
+pub use life::{Admitted, Arrived, BeforeDispatch, Call, Dispatched, NothingWritten, Sent};
+pub use outcome::{Doubt, NotRun, Outcome, Refusal, Unknown};
+pub use payload::{Field, Payload};
+pub use share::{Draw, Share};
--- /dev/null
+++ b/crates/poplartrail-core/src/call/outcome.rs
@@ -0,0 +1,180 @@
+//! The three things that a caller can be told.
+
+use std::time::Duration;
+
+use quick_error::quick_error;
+
+use crate::{call::Answer, names::VmName};
+
+quick_error! {
+    /// Why a call was refused before anything ran.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+    pub enum Refusal {
+        /// The gate admits less of this rank than arrives.
+        Overload { display("the service is overloaded for this rank: come again after the stated time") }
+        /// The queue of the gate is full.
+        QueueFull { display("the queue of the service is full: come again after the stated time") }
+        /// The time left is shorter than the call takes.
+        TooLate { display("the time left is too short to finish: allow more time") }
+        /// The node is leaving.
+        Draining { display("the node is leaving: call another node of the service") }
+        /// The node has not begun to serve.
+        Starting { display("the node is starting: call another node or come again") }
+        /// No instance of the service is known or reachable.
+        NoInstance { display("no instance of the service can be reached: check that it runs and come again") }
+        /// The node has as many calls in progress as its settings allow.
+        NodeFull { display("the node holds its full number of calls: come again or raise max_calls") }
+        /// The rank is not in the configuration.
+        UnknownRank { display("the rank is not in the base file: name one that is listed there") }
+        /// The service is not in the configuration.
+        UnknownService { display("the service is not in the base file: name one that is listed there") }
+        /// The key's timestamp lies beyond the lease of its home.
+        KeyTooNew { display("the key's timestamp lies in the future: set the clock that mints keys and use a new key") }
+        /// The key was used with another request.
+        KeyReused { display("the key was used with another request: mint one key for each action") }
+        /// The key's home holds no lease at present.
+        NoLease { display("the key's home is changing hands: come again with the same key") }
+        /// The node's memory for outcomes is full.
+        LedgerFull { display("the node remembers its full number of keys: come again with the same key") }
+        /// The chain is longer than the configuration allows.
+        TooDeep { display("the call chain is too deep: look for a loop or raise max_depth") }
+        /// The caller's repeats have used up the retries of the request.
+        RepeatsSpent { display("the request was repeated too often: wait before you send it again") }
+        /// The message between the nodes could not be sent.
+        Unsent { display("the message could not be sent: come again") }
+    }
+}
+
+impl Refusal {
+    /// Every refusal, in the order of their wire numbers.
+    pub const ALL: [Refusal; 16] = [
+        Refusal::Overload,
+        Refusal::QueueFull,
+        Refusal::TooLate,
+        Refusal::Draining,
+        Refusal::Starting,
+        Refusal::NoInstance,
+        Refusal::NodeFull,
+        Refusal::UnknownRank,
+        Refusal::UnknownService,
+        Refusal::KeyTooNew,
+        Refusal::KeyReused,
+        Refusal::NoLease,
+        Refusal::LedgerFull,
+        Refusal::TooDeep,
+        Refusal::RepeatsSpent,
+        Refusal::Unsent,
+    ];
+
+    /// Whether another instance of the same service may accept the call at once.
+    pub fn is_elsewhere(self) -> bool {
+        matches!(
+            self,
+            Refusal::QueueFull
+                | Refusal::Draining
+                | Refusal::Starting
+                | Refusal::NodeFull
+                | Refusal::Unsent
+        )
+    }
+
+    /// Whether a later repeat of the same call may be accepted.
+    pub fn is_temporary(self) -> bool {
+        !matches!(
+            self,
+            Refusal::UnknownRank
+                | Refusal::UnknownService
+                | Refusal::KeyTooNew
+                | Refusal::KeyReused
+                | Refusal::TooDeep
+        )
+    }
+}
+
+quick_error! {
+    /// Why nobody can tell whether a call ran.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+    pub enum Doubt {
+        /// The call was dispatched and its answer did not arrive.
+        AnswerLost { display("the answer was lost: ask again with the same key") }
+        /// The call was dispatched and its deadline passed.
+        DeadlinePassed { display("the deadline passed while the call ran: ask again with the same key") }
+        /// The key is older than the memory of its home.
+        KeyForgotten { display("the key is older than the outcomes kept for it: look the action up at the service") }
+        /// The key's home cannot be reached.
+        HomeUnreachable { display("the key's home cannot be reached: ask again with the same key") }
+        /// An earlier call with the key is still running.
+        StillRunning { display("an earlier call with the key is running: ask again with the same key") }
+    }
+}
+
+impl Doubt {
+    /// Every doubt, in the order of their wire numbers.
+    pub const ALL: [Doubt; 5] = [
+        Doubt::AnswerLost,
+        Doubt::DeadlinePassed,
+        Doubt::KeyForgotten,
+        Doubt::HomeUnreachable,
+        Doubt::StillRunning,
+    ];
+}
+
+/// The call did not run, and will not.
+///
+/// Only a call that was not dispatched can make one: see [`Call`](crate::call::Call).
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NotRun {
+    reason: Refusal,
+    retry_after: Option<Duration>,
+    by: VmName,
+}
+
+impl NotRun {
+    pub(crate) fn new(reason: Refusal, retry_after: Option<Duration>, by: VmName) -> Self {
+        Self { reason, retry_after, by }
+    }
+
+    /// Why the call was refused.
+    pub fn reason(&self) -> Refusal {
+        self.reason
+    }
+
+    /// How long to wait before a repeat; `None` if a repeat is pointless.
+    pub fn retry_after(&self) -> Option<Duration> {
+        self.retry_after
+    }
+
+    /// The node whose gate refused.
+    pub fn by(&self) -> &VmName {
+        &self.by
+    }
+}
+
+/// The call may or may not have run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unknown {
+    /// Why nobody can tell.
+    pub doubt: Doubt,
+}
+
+/// What a caller is told about its call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The call ran, and this is its answer.
+    Answered(Answer),
+    /// The call did not run.
+    NotRun(NotRun),
+    /// The call may have run.
+    Unknown(Unknown),
+}
+
+impl Outcome {
+    /// A short word for logs and metrics.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Outcome::Answered(_) => "answered",
+            Outcome::NotRun(_) => "not-run",
+            Outcome::Unknown(_) => "unknown",
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/arrivals.rs
@@ -0,0 +1,367 @@
+//! What happens to a call that arrives.
+
+use std::time::Duration;
+
+use rand::Rng;
+use twox_hash::XxHash3_64;
+
+use crate::{
+    call::{
+        Arrived, Call, Context, Doubt, Draw, Effect, NotRun, Outcome, Payload, Refusal, RequestId,
+        RetryBudget,
+    },
+    engine::{
+        Arrival, CallKey, Calls, Life, Origin, Output, Port, Ticket,
+        calls::Cx,
+        live::{Live, Stage},
+    },
+    gate::{GateStep, Offer},
+    keys::{IdempotencyKey, KeyVerdict, Known},
+    policy::RankIndex,
+    route::GateReport,
+    time::Time,
+};
+
+/// Wait that a caller is asked for after a refusal for overload.
+const OVERLOAD_WAIT: Duration = Duration::from_secs(1);
+/// Wait that a caller is asked for after another temporary refusal.
+const SHORT_WAIT: Duration = Duration::from_millis(200);
+
+/// How long a caller should wait after a refusal.
+pub(crate) fn wait_after(reason: Refusal) -> Option<Duration> {
+    match reason {
+        Refusal::Overload | Refusal::QueueFull => Some(OVERLOAD_WAIT),
+        reason if reason.is_temporary() => Some(SHORT_WAIT),
+        _ => None,
+    }
+}
+
+/// A hash of what a request asks for, to tell a repeat from another use of its key.
+fn fingerprint(payload: &Payload) -> u64 {
+    let mut bytes = Vec::with_capacity(payload.target.len() + payload.body.len() + 16);
+    for part in [payload.method.as_bytes(), payload.target.as_bytes(), &payload.body] {
+        bytes.extend_from_slice(&(part.len() as u64).to_le_bytes());
+        bytes.extend_from_slice(part);
+    }
+    XxHash3_64::oneshot(&bytes)
+}
+
+/// What a new call inherits from where it comes from.
+struct Inherited {
+    request: RequestId,
+    budget: RetryBudget,
+    depth: u8,
+    deadline: Time,
+    rank: RankIndex,
+}
+
+impl Calls {
+    /// Takes in a call and decides where it goes.
+    pub(crate) fn arrive(&mut self, cx: &mut Cx<'_>, arrival: Arrival) {
+        let inherited = match self.inherit(cx, &arrival) {
+            Ok(inherited) => inherited,
+            Err(reason) => return self.turn_away(cx, &arrival, reason),
+        };
+        let ticket = arrival.ticket;
+        let origin = arrival.origin;
+        let is_outbound = matches!(origin, Origin::Upstream { .. });
+        let context = Context {
+            request: inherited.request,
+            rank: self.policy.ranks.get(inherited.rank).name.clone(),
+            deadline: inherited.deadline,
+            depth: inherited.depth,
+            effect: arrival.effect,
+        };
+        let key = self.live.insert(Live {
+            stage: Stage::Moving,
+            ticket: Some(ticket),
+            origin,
+            rank: inherited.rank,
+            effect: arrival.effect,
+            deadline: inherited.deadline,
+            request: inherited.request,
+            lent: inherited.budget,
+            budget: inherited.budget,
+            carried: RetryBudget::default(),
+            attempt: 0,
+            instance: None,
+            in_flight: 0,
+            children: 0,
+            children_since: Time::ZERO,
+            children_time: Duration::ZERO,
+        });
+        self.tickets.insert(ticket, key);
+        self.timers.set(inherited.deadline, key);
+        self.ratio.earn();
+        if let Origin::Upstream { parent: Some(parent) } = origin
+            && let Some(parent) = self.live.get_mut(parent)
+        {
+            parent.begin_child(cx.now);
+        }
+        let call = Call::arrived(arrival.service, context, arrival.payload);
+        if is_outbound {
+            self.send_out(cx, key, call, None);
+        } else {
+            self.come_in(cx, key, call);
+        }
+    }
+
+    fn inherit(&mut self, cx: &mut Cx<'_>, arrival: &Arrival) -> Result<Inherited, Refusal> {
+        if self.live.len() >= self.options.max_calls {
+            return Err(Refusal::NodeFull);
+        }
+        if self.policy.service(&arrival.service).is_none() {
+            return Err(Refusal::UnknownService);
+        }
+        let parent = match arrival.origin {
+            Origin::Upstream { parent: Some(parent) } => self.live.get(parent).map(|_| parent),
+            _ => None,
+        };
+        let named = match &arrival.rank {
+            Some(name) => Some(self.policy.ranks.find(name).ok_or(Refusal::UnknownRank)?),
+            None => None,
+        };
+        let last = RankIndex(self.policy.ranks.len() as u8 - 1);
+        let inherited = match parent {
+            Some(parent) => self.inherit_from(parent, arrival),
+            None => {
+                let rank = named.unwrap_or(last);
+                let target = cx.now + self.policy.ranks.get(rank).target;
+                let (budget, depth) = match arrival.origin {
+                    Origin::Peer { budget, depth } => (budget, depth),
+                    _ => (self.begin_request(cx.now, arrival)?, 0),
+                };
+                let deadline = arrival.deadline.unwrap_or(target);
+                Inherited { request: arrival.request, budget, depth, deadline, rank }
+            }
+        };
+        if inherited.depth > self.policy.bounds.max_depth {
+            return Err(Refusal::TooDeep);
+        }
+        Ok(inherited)
+    }
+
+    fn inherit_from(&mut self, parent: CallKey, arrival: &Arrival) -> Inherited {
+        let full = self.full_budget();
+        let is_shared = self.options.mechanisms.has_shared_budget;
+        let live = &mut self.live[parent];
+        let (rank, deadline) = (live.rank, live.deadline);
+        let lent = live.budget.lend();
+        let (request, depth) = match &live.stage {
+            Stage::Running(call) => (call.context().request, call.context().depth + 1),
+            _ => (arrival.request, 1),
+        };
+        let budget = if is_shared { lent } else { full };
+        let deadline = arrival.deadline.map_or(deadline, |d| d.min(deadline));
+        Inherited { request, budget, depth, deadline, rank }
+    }
+
+    fn full_budget(&self) -> RetryBudget {
+        RetryBudget::new(self.policy.bounds.retries_per_request)
+    }
+
+    /// Retries for a request that begins here, less what its earlier tries have spent.
+    fn begin_request(&mut self, now: Time, arrival: &Arrival) -> Result<RetryBudget, Refusal> {
+        let full = self.full_budget();
+        let is_counted = self.options.mechanisms.has_shared_budget
+            && arrival.effect == Effect::Idempotent
+            && arrival.origin == Origin::Caller;
+        if !is_counted {
+            return Ok(full);
+        }
+        self.repeats.begin(now, arrival.request, full).ok_or(Refusal::RepeatsSpent)
+    }
+
+    /// Refuses a call for which no place is kept.
+    fn turn_away(&mut self, cx: &mut Cx<'_>, arrival: &Arrival, reason: Refusal) {
+        let context = Context {
+            request: arrival.request,
+            rank: self.policy.ranks.get(RankIndex(0)).name.clone(),
+            deadline: cx.now,
+            depth: 0,
+            effect: arrival.effect,
+        };
+        let call = Call::arrived(arrival.service.clone(), context, Payload::default());
+        let outcome = self.truthful_refusal(call, reason);
+        let unspent = match arrival.origin {
+            Origin::Peer { budget, .. } => budget,
+            _ => RetryBudget::default(),
+        };
+        let report = GateReport { unspent, ..GateReport::default() };
+        cx.out.push(Output::Reply { ticket: arrival.ticket, outcome, report });
+    }
+
+    /// "Not run", unless an earlier call with the same key may have run at its home.
+    pub(crate) fn truthful_refusal(&self, call: Call<Arrived>, reason: Refusal) -> Outcome {
+        let may_have_run = call.context().effect.key().is_some() && reason.is_temporary();
+        if may_have_run {
+            return Outcome::Unknown(call.doubt(Doubt::HomeUnreachable));
+        }
+        Outcome::NotRun(call.refuse(reason, wait_after(reason), self.me.vm.clone()))
+    }
+
+    /// Decides on a call for the own upstream.
+    fn come_in(&mut self, cx: &mut Cx<'_>, key: CallKey, call: Call<Arrived>) {
+        if *call.service() != self.me.service {
+            let outcome = self.truthful_refusal(call, Refusal::UnknownService);
+            return self.finish(cx, key, outcome);
+        }
+        match call.context().effect {
+            Effect::Once(id) if self.options.mechanisms.has_ledger => {
+                self.come_in_once(cx, key, call, id);
+            }
+            _ => self.come_in_idempotent(cx, key, call),
+        }
+    }
+
+    fn come_in_idempotent(&mut self, cx: &mut Cx<'_>, key: CallKey, call: Call<Arrived>) {
+        let blocked = match cx.life {
+            Life::Starting(_) => Some(Refusal::Starting),
+            Life::Draining(_) => Some(Refusal::Draining),
+            Life::Serving(_) => None,
+        };
+        match blocked {
+            Some(_) if self.live[key].origin == Origin::Caller => {
+                self.send_out(cx, key, call, None);
+            }
+            Some(reason) => {
+                let not_run = self.refuse(call, reason);
+                self.finish(cx, key, Outcome::NotRun(not_run));
+            }
+            None => self.offer(cx, key, call),
+        }
+    }
+
+    /// Decides on a call whose second run would do harm.
+    fn come_in_once(
+        &mut self,
+        cx: &mut Cx<'_>,
+        key: CallKey,
+        call: Call<Arrived>,
+        id: IdempotencyKey,
+    ) {
+        let Some(own) = cx.keeper.own_home(cx.now, id, &self.policy) else {
+            if self.live[key].origin == Origin::Caller {
+                return self.send_out(cx, key, call, None);
+            }
+            let unknown = call.doubt(Doubt::HomeUnreachable);
+            return self.finish(cx, key, Outcome::Unknown(unknown));
+        };
+        let mut epoch = own.epoch;
+        epoch.floor = epoch.floor.max(self.ledger.floor());
+        match epoch.judge(id) {
+            KeyVerdict::Own => self.look_up(cx, key, call, id),
+            KeyVerdict::TooNew if own.is_live => {
+                let not_run = self.refuse(call, Refusal::KeyTooNew);
+                self.finish(cx, key, Outcome::NotRun(not_run));
+            }
+            KeyVerdict::TooNew => {
+                let unknown = call.doubt(Doubt::HomeUnreachable);
+                self.finish(cx, key, Outcome::Unknown(unknown));
+            }
+            KeyVerdict::Forgotten => {
+                let unknown = call.doubt(Doubt::KeyForgotten);
+                self.finish(cx, key, Outcome::Unknown(unknown));
+            }
+        }
+    }
+
+    fn look_up(&mut self, cx: &mut Cx<'_>, key: CallKey, call: Call<Arrived>, id: IdempotencyKey) {
+        let print = fingerprint(call.payload());
+        match self.ledger.look_up(id, print) {
+            Known::Done(answer) => {
+                let outcome = call.repeat_answer(answer);
+                self.finish(cx, key, outcome);
+            }
+            Known::Lost => {
+                let unknown = call.doubt(Doubt::AnswerLost);
+                self.finish(cx, key, Outcome::Unknown(unknown));
+            }
+            Known::OtherRequest => {
+                let not_run = self.refuse(call, Refusal::KeyReused);
+                self.finish(cx, key, Outcome::NotRun(not_run));
+            }
+            Known::Running => self.follow(cx, key, call, id),
+            Known::New => self.begin_once(cx, key, call, id, print),
+        }
+    }
+
+    fn begin_once(
+        &mut self,
+        cx: &mut Cx<'_>,
+        key: CallKey,
+        call: Call<Arrived>,
+        id: IdempotencyKey,
+        print: u64,
+    ) {
+        let refusal = match cx.life {
+            Life::Starting(_) => Some(Refusal::Starting),
+            Life::Draining(_) => Some(Refusal::Draining),
+            Life::Serving(_) if !self.ledger.has_room() => Some(Refusal::LedgerFull),
+            Life::Serving(_) => None,
+        };
+        if let Some(reason) = refusal {
+            let not_run = self.refuse(call, reason);
+            return self.finish(cx, key, Outcome::NotRun(not_run));
+        }
+        self.ledger.begin(id, print);
+        self.latest_accepted = self.latest_accepted.max(id.minted());
+        self.running_keys.insert(id, key);
+        self.offer(cx, key, call);
+    }
+
+    /// Waits for the outcome of an earlier call with the same key.
+    fn follow(&mut self, cx: &mut Cx<'_>, key: CallKey, call: Call<Arrived>, id: IdempotencyKey) {
+        match self.running_keys.get(&id) {
+            Some(&first) => {
+                self.live[key].stage = Stage::Following(call);
+                self.followers.entry(first).or_default().push(key);
+            }
+            None => {
+                let unknown = call.doubt(Doubt::StillRunning);
+                self.finish(cx, key, Outcome::Unknown(unknown));
+            }
+        }
+    }
+
+    /// Puts a call before the gate.
+    fn offer(&mut self, cx: &mut Cx<'_>, key: CallKey, call: Call<Arrived>) {
+        let rank = self.live[key].rank;
+        let draw = self.draw_of(call.context().request);
+        let begins_here = call.context().depth == 0;
+        let call = call.admit();
+        let offer = Offer { call: key, rank, draw, deadline: call.context().deadline };
+        self.live[key].stage = Stage::Waiting(call);
+        let mut steps = Vec::new();
+        let is_shed_below = begins_here
+            && self.options.mechanisms.has_path_shares
+            && !self.path_share(cx.now, rank).admits(draw)
+            && self.gate.share(rank).admits(draw);
+        if is_shed_below {
+            steps.push(GateStep::Refuse(key, Refusal::Overload));
+        } else {
+            self.gate.offer(cx.now, offer, &mut steps);
+        }
+        self.take_steps(cx, steps);
+    }
+
+    fn draw_of(&mut self, request: RequestId) -> Draw {
+        if self.options.mechanisms.has_common_order {
+            request.draw()
+        } else {
+            Draw(self.random.random())
+        }
+    }
+
+    pub(crate) fn refuse(&self, call: Call<Arrived>, reason: Refusal) -> NotRun {
+        call.refuse(reason, wait_after(reason), self.me.vm.clone())
+    }
+
+    /// Notes that nobody waits for `ticket` any longer.
+    pub(crate) fn caller_left(&mut self, cx: &mut Cx<'_>, ticket: Ticket) {
+        debug_assert!(matches!(ticket.port, Port::Ingress | Port::Peers), "ports that wait");
+        if let Some(&key) = self.tickets.get(&ticket) {
+            self.abandon(cx, key, Doubt::AnswerLost);
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/calls.rs
@@ -0,0 +1,397 @@
+//! The calls in progress on one node and what decides on them.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use slotmap::SlotMap;
+
+use crate::{
+    call::{Call, RequestId, Share},
+    engine::{
+        CallKey, Event, EventKind, Keeper, Life, Mechanisms, Output, Ticket,
+        live::{Live, Stage},
+        timers::Timers,
+    },
+    gate::{Gate, GateOptions, Gradient, Law},
+    keys::{IdempotencyKey, Ledger},
+    member::Member,
+    names::{RankName, ServiceName},
+    policy::{Policy, RankIndex},
+    retry::{Repeats, RetryRatio},
+    route::Router,
+    time::{Time, WallTime},
+};
+
+/// Requests whose repeats a node recognises.
+const MAX_REPEATS: usize = 100_000;
+/// Time for which a node recognises repeats.
+const REPEAT_WINDOW: Duration = Duration::from_secs(60);
+/// Time for which a computed path share serves.
+const PATH_SHARE_FRESH: Duration = Duration::from_millis(5);
+/// Time after the last call to a service for which its shares count.
+const CALLED_WINDOW: Duration = Duration::from_secs(10);
+/// First limit of a gate that knows nothing of its upstream.
+const FIRST_LIMIT: usize = 8;
+
+/// Parameters of [`Calls`].
+#[derive(Debug, Clone)]
+pub struct CallsOptions {
+    pub(crate) law: Option<Law>,
+    pub(crate) has_shares: bool,
+    pub(crate) has_deadlines: bool,
+    pub(crate) mechanisms: Mechanisms,
+    pub(crate) max_calls: usize,
+    pub(crate) ledger_bytes: usize,
+    pub(crate) seed: u64,
+}
+
+impl Default for CallsOptions {
+    fn default() -> Self {
+        Self {
+            law: Some(Law::Gradient(Gradient::new(FIRST_LIMIT))),
+            has_shares: true,
+            has_deadlines: true,
+            mechanisms: Mechanisms::default(),
+            max_calls: 4096,
+            ledger_bytes: 32 << 20,
+            seed: 0,
+        }
+    }
+}
+
+impl CallsOptions {
+    /// Starts from the defaults.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the law of the limit; `None` admits everything.
+    #[must_use]
+    pub fn law(mut self, law: impl Into<Option<Law>>) -> Self {
+        self.law = law.into();
+        self
+    }
+
+    /// Sets whether capacity is divided among the ranks ahead of the queue.
+    #[must_use]
+    pub fn has_shares(mut self, has_shares: bool) -> Self {
+        self.has_shares = has_shares;
+        self
+    }
+
+    /// Sets whether calls that cannot finish in time are refused.
+    #[must_use]
+    pub fn has_deadlines(mut self, has_deadlines: bool) -> Self {
+        self.has_deadlines = has_deadlines;
+        self
+    }
+
+    /// Sets the mechanisms that act across nodes.
+    #[must_use]
+    pub fn mechanisms(mut self, mechanisms: Mechanisms) -> Self {
+        self.mechanisms = mechanisms;
+        self
+    }
+
+    /// Sets the number of calls that may be in progress, waiting ones included.
+    #[must_use]
+    pub fn max_calls(mut self, max_calls: usize) -> Self {
+        self.max_calls = max_calls;
+        self
+    }
+
+    /// Sets the memory for outcomes of keys, in bytes.
+    #[must_use]
+    pub fn ledger_bytes(mut self, bytes: usize) -> Self {
+        self.ledger_bytes = bytes;
+        self
+    }
+
+    /// Sets the seed of the random choices.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+}
+
+/// What a decision needs besides the calls themselves.
+pub(crate) struct Cx<'a> {
+    pub(crate) now: Time,
+    pub(crate) wall: WallTime,
+    pub(crate) life: &'a Life,
+    pub(crate) keeper: &'a Keeper,
+    pub(crate) out: &'a mut Vec<Output>,
+}
+
+impl Cx<'_> {
+    pub(crate) fn note(
+        &mut self,
+        request: Option<RequestId>,
+        rank: Option<RankName>,
+        kind: EventKind,
+    ) {
+        self.out.push(Output::Note(Event { request, rank, kind }));
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Called {
+    service: ServiceName,
+    ranks: Vec<Option<Time>>,
+}
+
+/// Calls in progress, the gate, the routes and the memory of keys.
+#[derive(Debug)]
+pub struct Calls {
+    pub(crate) me: Member,
+    pub(crate) policy: Arc<Policy>,
+    pub(crate) options: CallsOptions,
+    pub(crate) gate: Gate,
+    pub(crate) router: Router,
+    pub(crate) ratio: RetryRatio,
+    pub(crate) repeats: Repeats,
+    pub(crate) ledger: Ledger,
+    pub(crate) live: SlotMap<CallKey, Live>,
+    pub(crate) tickets: HashMap<Ticket, CallKey>,
+    pub(crate) running_keys: HashMap<IdempotencyKey, CallKey>,
+    pub(crate) followers: HashMap<CallKey, Vec<CallKey>>,
+    pub(crate) timers: Timers,
+    pub(crate) random: SmallRng,
+    pub(crate) latest_accepted: WallTime,
+    called: Vec<Called>,
+    newly_called: Vec<ServiceName>,
+    path_shares: Vec<(Time, Share)>,
+    interval_at: Time,
+    noted_limit: usize,
+}
+
+impl Calls {
+    /// A node with no call in progress.
+    pub fn new(me: Member, policy: Arc<Policy>, options: CallsOptions) -> Self {
+        let gate = new_gate(&options, &policy);
+        let router = Router::new(me.zone.clone());
+        let mut calls = Self {
+            gate,
+            router,
+            ratio: RetryRatio::new(policy.bounds.retry_ratio),
+            repeats: Repeats::new(MAX_REPEATS),
+            ledger: Ledger::new(options.ledger_bytes),
+            live: SlotMap::with_key(),
+            tickets: HashMap::new(),
+            running_keys: HashMap::new(),
+            followers: HashMap::new(),
+            timers: Timers::default(),
+            random: SmallRng::seed_from_u64(options.seed),
+            latest_accepted: WallTime::default(),
+            called: Vec::new(),
+            newly_called: Vec::new(),
+            path_shares: Vec::new(),
+            interval_at: Time::ZERO,
+            noted_limit: 0,
+            me,
+            policy,
+            options,
+        };
+        calls.router.use_shares(calls.options.mechanisms.has_path_shares);
+        calls
+    }
+
+    /// Number of calls in progress.
+    pub fn len(&self) -> usize {
+        self.live.len()
+    }
+
+    /// Whether no call is in progress.
+    pub fn is_empty(&self) -> bool {
+        self.live.is_empty()
+    }
+
+    /// The gate of the upstream.
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
+    /// The routes.
+    pub fn router(&self) -> &Router {
+        &self.router
+    }
+
+    /// The routes, to be changed by the fold of the log.
+    pub(crate) fn router_mut(&mut self) -> &mut Router {
+        &mut self.router
+    }
+
+    /// The memory of keys.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// The policy in force.
+    pub fn policy(&self) -> &Arc<Policy> {
+        &self.policy
+    }
+
+    /// Puts a policy in force. Calls in progress keep their deadlines and retries.
+    pub(crate) fn set_policy(&mut self, now: Time, policy: Arc<Policy>) {
+        let has_same_ranks = self.policy.ranks == policy.ranks;
+        let has_same_queue = self.policy.bounds.queue_len == policy.bounds.queue_len;
+        self.ratio.set_ratio(policy.bounds.retry_ratio);
+        if !(has_same_ranks && has_same_queue) {
+            self.gate.set_ranks(&policy.ranks, policy.bounds.queue_len);
+            self.router.set_ranks(now, policy.ranks.len());
+            self.called.clear();
+            for live in self.live.values_mut() {
+                live.rank = RankIndex(live.rank.0.min(policy.ranks.len() as u8 - 1));
+            }
+        }
+        self.path_shares.clear();
+        self.policy = policy;
+    }
+
+    /// Starts the gate's law again, after the upstream has come back.
+    pub(crate) fn restart_gate(&mut self, slots: Option<usize>) {
+        let first = slots.map_or(FIRST_LIMIT, |s| (s / 8).max(FIRST_LIMIT));
+        if let Some(Law::Gradient(_)) = self.options.law {
+            self.gate.set_law(Law::Gradient(Gradient::new(first)));
+        }
+    }
+
+    /// The earliest time at which [`Calls::wake`] has something to do.
+    pub(crate) fn next_wake(&self) -> Time {
+        let interval = self.interval_at + self.policy.bounds.interval;
+        self.timers.next().map_or(interval, |timer| timer.min(interval))
+    }
+
+    /// Ends what has passed its deadline, and the interval if it is over.
+    pub(crate) fn wake(&mut self, cx: &mut Cx<'_>) {
+        while let Some(key) = self.timers.pop_due(cx.now) {
+            self.expire(cx, key);
+        }
+        if cx.now >= self.interval_at + self.policy.bounds.interval {
+            self.end_interval(cx);
+        }
+    }
+
+    fn end_interval(&mut self, cx: &mut Cx<'_>) {
+        self.interval_at = cx.now;
+        let before: Vec<Share> = self.own_shares();
+        let mut steps = Vec::new();
+        self.gate.end_interval(cx.now, &mut steps);
+        self.take_steps(cx, steps);
+        self.note_changes(cx, &before);
+        self.repeats.forget_before(cx.now - REPEAT_WINDOW);
+        self.ledger.forget_until(cx.wall - self.policy.bounds.key_window);
+        if self.options.mechanisms.has_silence_watch {
+            self.replace_silent(cx);
+        }
+    }
+
+    fn own_shares(&self) -> Vec<Share> {
+        (0..self.policy.ranks.len()).map(|r| self.gate.share(RankIndex(r as u8))).collect()
+    }
+
+    fn note_changes(&mut self, cx: &mut Cx<'_>, before: &[Share]) {
+        for (index, (from, to)) in before.iter().zip(self.own_shares()).enumerate() {
+            if *from != to && (*from == Share::FULL || to == Share::FULL) {
+                let rank = self.policy.ranks.get(RankIndex(index as u8)).name.clone();
+                let kind = EventKind::ShareChanged { from: from.fraction(), to: to.fraction() };
+                cx.note(None, Some(rank), kind);
+            }
+        }
+        let limit = self.gate.limit();
+        let is_notable = limit != usize::MAX && limit.abs_diff(self.noted_limit) * 4 > limit;
+        if is_notable {
+            cx.note(None, None, EventKind::LimitChanged { from: self.noted_limit, to: limit });
+            self.noted_limit = limit;
+        }
+    }
+
+    fn replace_silent(&mut self, cx: &mut Cx<'_>) {
+        for key in self.router.take_silent(cx.now) {
+            let Some(instance) = self.router.get(key) else { continue };
+            let (vm, to) = (instance.vm.clone(), instance.addr);
+            cx.note(None, None, EventKind::ConnectionSilent { vm: vm.clone() });
+            cx.out.push(Output::Reconnect { vm, to });
+            self.lose_sent_to(cx, key);
+        }
+    }
+
+    /// Notes that a call of `rank` goes to `service`, whose shares then count for that rank.
+    pub(crate) fn note_called(&mut self, now: Time, service: &ServiceName, rank: RankIndex) {
+        let ranks = self.policy.ranks.len();
+        let at = match self.called.iter().position(|c| c.service == *service) {
+            Some(at) => at,
+            None => {
+                self.called.push(Called { service: service.clone(), ranks: vec![None; ranks] });
+                self.newly_called.push(service.clone());
+                self.called.len() - 1
+            }
+        };
+        self.called[at].ranks[rank.index()] = Some(now);
+    }
+
+    /// Services to which calls went for the first time since the last question.
+    pub(crate) fn take_newly_called(&mut self) -> Vec<ServiceName> {
+        std::mem::take(&mut self.newly_called)
+    }
+
+    /// Fraction of `rank` that this gate and everything below it admit.
+    pub fn path_share(&mut self, now: Time, rank: RankIndex) -> Share {
+        let own = self.gate.share(rank);
+        if !self.options.mechanisms.has_path_shares {
+            return own;
+        }
+        let below = match self.path_shares.get(rank.index()) {
+            Some((at, share)) if now.since(*at) < PATH_SHARE_FRESH && *at <= now => *share,
+            _ => self.compute_path_share(now, rank),
+        };
+        own.min(below)
+    }
+
+    fn compute_path_share(&mut self, now: Time, rank: RankIndex) -> Share {
+        let below = self
+            .called
+            .iter()
+            .filter(|c| c.ranks[rank.index()].is_some_and(|at| now.since(at) < CALLED_WINDOW))
+            .map(|c| self.router.share(now, &c.service, rank))
+            .min()
+            .unwrap_or(Share::FULL);
+        let unset = (Time::ZERO, Share::FULL);
+        self.path_shares.resize(self.policy.ranks.len(), unset);
+        self.path_shares[rank.index()] = (now, below);
+        below
+    }
+
+    /// A random number for a choice of route.
+    pub(crate) fn random(&mut self) -> u64 {
+        self.random.random()
+    }
+
+    /// Takes a call's stage out, to be replaced by the next one.
+    pub(crate) fn take_stage(&mut self, key: CallKey) -> Option<Stage> {
+        let live = self.live.get_mut(key)?;
+        Some(std::mem::replace(&mut live.stage, Stage::Moving))
+    }
+
+    /// Takes a waiting call out of its stage.
+    pub(crate) fn take_waiting(&mut self, key: CallKey) -> Option<Call<crate::call::Admitted>> {
+        match self.take_stage(key)? {
+            Stage::Waiting(call) => Some(call),
+            other => {
+                self.live[key].stage = other;
+                None
+            }
+        }
+    }
+}
+
+fn new_gate(options: &CallsOptions, policy: &Policy) -> Gate {
+    let options = GateOptions {
+        law: options.law.clone(),
+        has_shares: options.has_shares,
+        has_deadlines: options.has_deadlines,
+        queue_len: policy.bounds.queue_len,
+    };
+    Gate::new(options, &policy.ranks)
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/ending.rs
@@ -0,0 +1,181 @@
+//! How a call ends.
+
+use std::time::Duration;
+
+use crate::{
+    call::{Doubt, Effect, Outcome, Refusal, RetryBudget, Unknown},
+    engine::{
+        CallKey, Calls, EventKind, Origin, Output,
+        calls::Cx,
+        live::{Live, Stage},
+    },
+    policy::RankIndex,
+    route::GateReport,
+    time::Time,
+};
+
+/// Time past its deadline for which a non-idempotent call may go on, so that its outcome is known.
+const OUTCOME_GRACE: Duration = Duration::from_secs(30);
+
+impl Calls {
+    /// Ends a call and tells everybody who waits for it.
+    pub(crate) fn finish(&mut self, cx: &mut Cx<'_>, key: CallKey, outcome: Outcome) {
+        let Some(live) = self.live.remove(key) else { return };
+        self.settle(cx.now, &live);
+        self.note_outcome(cx, &live, &outcome);
+        if let Some(ticket) = live.ticket {
+            self.tickets.remove(&ticket);
+            let report = self.report(cx, live.rank, live.budget);
+            cx.out.push(Output::Reply { ticket, outcome: outcome.clone(), report });
+        }
+        for follower in self.followers.remove(&key).unwrap_or_default() {
+            self.finish_follower(cx, follower, &outcome);
+        }
+    }
+
+    /// Returns unspent retries to where they came from.
+    fn settle(&mut self, now: Time, live: &Live) {
+        match live.origin {
+            Origin::Upstream { parent: Some(parent) } => {
+                if let Some(parent) = self.live.get_mut(parent) {
+                    parent.end_child(now);
+                    parent.budget.restore(live.lent, live.budget);
+                }
+            }
+            Origin::Caller if live.effect == Effect::Idempotent => {
+                self.repeats.end(live.request, live.budget);
+            }
+            _ => {}
+        }
+    }
+
+    fn finish_follower(&mut self, cx: &mut Cx<'_>, key: CallKey, outcome: &Outcome) {
+        let Some(Stage::Following(call)) = self.take_stage(key) else { return };
+        let outcome = match outcome {
+            Outcome::Answered(answer) => call.repeat_answer(answer.clone()),
+            Outcome::NotRun(not_run) => {
+                let (reason, wait) = (not_run.reason(), not_run.retry_after());
+                Outcome::NotRun(call.refuse(reason, wait, not_run.by().clone()))
+            }
+            Outcome::Unknown(unknown) => Outcome::Unknown(call.doubt(unknown.doubt)),
+        };
+        self.finish(cx, key, outcome);
+    }
+
+    fn note_outcome(&mut self, cx: &mut Cx<'_>, live: &Live, outcome: &Outcome) {
+        let rank = Some(self.policy.ranks.get(live.rank).name.clone());
+        let kind = match outcome {
+            Outcome::Answered(_) => return,
+            Outcome::NotRun(not_run) => EventKind::Refused {
+                reason: not_run.reason(),
+                by: not_run.by().clone(),
+                share: self.path_share(cx.now, live.rank).fraction(),
+            },
+            Outcome::Unknown(unknown) => EventKind::InDoubt { why: unknown.doubt.to_string() },
+        };
+        cx.note(Some(live.request), rank, kind);
+    }
+
+    /// State of the gate, to be carried back on an answer.
+    pub(crate) fn report(
+        &mut self,
+        cx: &Cx<'_>,
+        rank: RankIndex,
+        unspent: RetryBudget,
+    ) -> GateReport {
+        let limit = self.gate.limit().max(1);
+        let load = (self.gate.in_flight() + self.gate.queued()) as f64 / limit as f64;
+        GateReport {
+            share: self.path_share(cx.now, rank),
+            load: (load * 1024.0).min(f64::from(u16::MAX)) as u16,
+            is_draining: cx.life.is_draining(),
+            unspent,
+            config: cx.keeper.config_version(),
+        }
+    }
+
+    /// Ends a call whose deadline has passed.
+    pub(crate) fn expire(&mut self, cx: &mut Cx<'_>, key: CallKey) {
+        let Some(live) = self.live.get(key) else { return };
+        if live.deadline > cx.now {
+            return;
+        }
+        match &live.stage {
+            Stage::Waiting(_) => self.expire_waiting(cx, key),
+            Stage::Following(_) => self.expire_following(cx, key),
+            Stage::Running(_) | Stage::Away(_) => self.abandon(cx, key, Doubt::DeadlinePassed),
+            Stage::Moving => debug_assert!(false, "a call rests in a stage"),
+        }
+    }
+
+    /// Refuses every waiting call, because the node is leaving.
+    pub(crate) fn leave_queue(&mut self, cx: &mut Cx<'_>) {
+        let mut steps = Vec::new();
+        self.gate.drain(Refusal::Draining, &mut steps);
+        self.take_steps(cx, steps);
+    }
+
+    fn expire_waiting(&mut self, cx: &mut Cx<'_>, key: CallKey) {
+        self.gate.withdraw(key);
+        let steps = vec![crate::gate::GateStep::Refuse(key, Refusal::TooLate)];
+        self.take_steps(cx, steps);
+    }
+
+    fn expire_following(&mut self, cx: &mut Cx<'_>, key: CallKey) {
+        if let Some(Stage::Following(call)) = self.take_stage(key) {
+            let unknown = call.doubt(Doubt::StillRunning);
+            self.finish(cx, key, Outcome::Unknown(unknown));
+        }
+    }
+
+    /// Ends a call for which nobody waits any longer.
+    pub(crate) fn abandon(&mut self, cx: &mut Cx<'_>, key: CallKey, doubt: Doubt) {
+        let Some(live) = self.live.get(key) else { return };
+        match &live.stage {
+            Stage::Waiting(_) => self.expire_waiting(cx, key),
+            Stage::Following(_) => self.expire_following(cx, key),
+            Stage::Running(_) => self.abandon_running(cx, key, doubt),
+            Stage::Away(_) => self.abandon_away(cx, key, doubt),
+            Stage::Moving => {}
+        }
+    }
+
+    fn abandon_running(&mut self, cx: &mut Cx<'_>, key: CallKey, doubt: Doubt) {
+        let live = &self.live[key];
+        let is_last_look = live.ticket.is_none() || cx.now >= live.deadline + OUTCOME_GRACE;
+        if live.effect.key().is_some() && !is_last_look {
+            return self.detach(cx, key, doubt);
+        }
+        let Some(Stage::Running(call)) = self.take_stage(key) else { return };
+        cx.out.push(Output::CancelDispatch { call: key });
+        self.complete(cx, key, call.state().at, false);
+        let outcome = call.lose(doubt);
+        self.finish_lost(cx, key, outcome);
+    }
+
+    /// Tells whoever waits for a non-idempotent call, and lets it run on to learn its outcome.
+    fn detach(&mut self, cx: &mut Cx<'_>, key: CallKey, doubt: Doubt) {
+        let live = &mut self.live[key];
+        live.deadline = cx.now + OUTCOME_GRACE;
+        self.timers.set(live.deadline, key);
+        let (rank, ticket, request) = (live.rank, live.ticket.take(), live.request);
+        let Some(ticket) = ticket else { return };
+        self.tickets.remove(&ticket);
+        let report = self.report(cx, rank, RetryBudget::default());
+        let outcome = Outcome::Unknown(Unknown { doubt });
+        cx.note(Some(request), None, EventKind::InDoubt { why: doubt.to_string() });
+        cx.out.push(Output::Reply { ticket, outcome, report });
+    }
+
+    fn abandon_away(&mut self, cx: &mut Cx<'_>, key: CallKey, doubt: Doubt) {
+        let live = &self.live[key];
+        let (attempt, instance) = (live.attempt, live.instance);
+        let Some(Stage::Away(call)) = self.take_stage(key) else { return };
+        if let Some(instance) = instance {
+            self.router.note_lost(cx.now, instance, false);
+        }
+        cx.out.push(Output::CancelSend { call: key, attempt });
+        let outcome = call.lose(doubt);
+        self.finish(cx, key, outcome);
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/event.rs
@@ -0,0 +1,133 @@
+//! Events of the time line.
+
+use std::fmt;
+
+use crate::{
+    call::{Refusal, RequestId},
+    names::{RankName, ServiceName, VmName},
+};
+
+/// What happened, with what it concerns.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Event {
+    /// The whole request, if it concerns one.
+    pub request: Option<RequestId>,
+    /// The rank, if it concerns one.
+    pub rank: Option<RankName>,
+    /// What happened and why.
+    pub kind: EventKind,
+}
+
+/// Kinds of events.
+#[derive(Debug, Clone, PartialEq)]
+pub enum EventKind {
+    /// A call was refused before it ran.
+    Refused {
+        /// Why.
+        reason: Refusal,
+        /// The gate that refused.
+        by: VmName,
+        /// Fraction of the rank that was admitted then.
+        share: f64,
+    },
+    /// A call was sent again.
+    Retried {
+        /// The service.
+        service: ServiceName,
+        /// Where it goes now.
+        to: VmName,
+        /// Why the last try failed.
+        why: &'static str,
+        /// Retries that the call may still cause here.
+        left: u8,
+    },
+    /// A call ended without anybody knowing whether it ran.
+    InDoubt {
+        /// Why.
+        why: String,
+    },
+    /// The limit on calls in progress changed.
+    LimitChanged {
+        /// Before.
+        from: usize,
+        /// After.
+        to: usize,
+    },
+    /// The admitted fraction of a rank changed.
+    ShareChanged {
+        /// Before.
+        from: f64,
+        /// After.
+        to: f64,
+    },
+    /// An instance was added to the routes, or taken out.
+    RouteChanged {
+        /// The instance.
+        vm: VmName,
+        /// What changed.
+        what: &'static str,
+    },
+    /// A connection was replaced because nothing came over it.
+    ConnectionSilent {
+        /// The instance.
+        vm: VmName,
+    },
+    /// A configuration came into force.
+    ConfigInForce {
+        /// Number of accepted changes.
+        version: u64,
+    },
+    /// A lease was gained or lost.
+    LeasesChanged {
+        /// Slots held before.
+        from: usize,
+        /// Slots held after.
+        to: usize,
+    },
+    /// The node's phase changed.
+    PhaseChanged {
+        /// The phase.
+        to: &'static str,
+    },
+}
+
+impl EventKind {
+    /// A short word for filters.
+    pub fn word(&self) -> &'static str {
+        match self {
+            EventKind::Refused { .. } => "refused",
+            EventKind::Retried { .. } => "retried",
+            EventKind::InDoubt { .. } => "in-doubt",
+            EventKind::LimitChanged { .. } => "limit",
+            EventKind::ShareChanged { .. } => "share",
+            EventKind::RouteChanged { .. } => "route",
+            EventKind::ConnectionSilent { .. } => "silent",
+            EventKind::ConfigInForce { .. } => "config",
+            EventKind::LeasesChanged { .. } => "leases",
+            EventKind::PhaseChanged { .. } => "phase",
+        }
+    }
+}
+
+impl fmt::Display for EventKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            EventKind::Refused { reason, by, share } => {
+                write!(f, "refused by {by}, share {share:.3}: {reason}")
+            }
+            EventKind::Retried { service, to, why, left } => {
+                write!(f, "{service} again at {to} because {why}, {left} retries left")
+            }
+            EventKind::InDoubt { why } => write!(f, "not known whether it ran: {why}"),
+            EventKind::LimitChanged { from, to } => write!(f, "limit {from} -> {to}"),
+            EventKind::ShareChanged { from, to } => write!(f, "share {from:.3} -> {to:.3}"),
+            EventKind::RouteChanged { vm, what } => write!(f, "{vm} {what}"),
+            EventKind::ConnectionSilent { vm } => {
+                write!(f, "connection to {vm} silent, replaced")
+            }
+            EventKind::ConfigInForce { version } => write!(f, "configuration {version} in force"),
+            EventKind::LeasesChanged { from, to } => write!(f, "slots held {from} -> {to}"),
+            EventKind::PhaseChanged { to } => write!(f, "node is {to}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/input.rs
@@ -0,0 +1,199 @@
+//! Everything that can happen to a node.
+
+use std::time::Duration;
+
+use crate::{
+    call::{Answer, Doubt, Effect, Payload, Refusal, RequestId, RetryBudget},
+    config::{Change, Snapshot},
+    engine::CallKey,
+    member::MemberRecord,
+    names::{RankName, ServiceName, VmName},
+    route::GateReport,
+    time::{Time, WallTime},
+};
+
+/// The adapter that waits for a reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Port {
+    /// Callers and the own upstream.
+    Ingress,
+    /// Other nodes.
+    Peers,
+}
+
+/// A reply that an adapter waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Ticket {
+    /// The adapter.
+    pub port: Port,
+    /// The adapter's own number for the call.
+    pub id: u64,
+}
+
+/// Where a call comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller outside the fleet; a whole request begins here.
+    Caller,
+    /// The own upstream, while it works on `parent`; `None` if it works on no call.
+    Upstream {
+        /// The inbound call that the upstream works on.
+        parent: Option<CallKey>,
+    },
+    /// Another node.
+    Peer {
+        /// Retries that the call and its children may cause.
+        budget: RetryBudget,
+        /// Calls above this one in the chain.
+        depth: u8,
+    },
+}
+
+/// A call as an adapter received it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Arrival {
+    /// Where the reply goes.
+    pub ticket: Ticket,
+    /// Where the call comes from.
+    pub origin: Origin,
+    /// The service that it is for.
+    pub service: ServiceName,
+    /// The whole request that it belongs to.
+    pub request: RequestId,
+    /// Its rank; `None` takes the parent's, or else the least urgent one.
+    pub rank: Option<RankName>,
+    /// Its deadline; `None` takes the parent's or the rank's target.
+    pub deadline: Option<Time>,
+    /// Whether a second run does harm.
+    pub effect: Effect,
+    /// Its content.
+    pub payload: Payload,
+}
+
+/// Why the upstream gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpstreamFault {
+    /// No connection could be made, so not one byte of the call was written.
+    NotConnected,
+    /// The connection ended or went silent after the call was written.
+    Lost,
+}
+
+/// What another node says of a call.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PeerOutcome {
+    /// Its upstream answered.
+    Answered(Answer),
+    /// It did not run the call.
+    NotRun {
+        /// Why.
+        reason: Refusal,
+        /// How long to wait before a repeat.
+        retry_after: Option<Duration>,
+        /// Whose gate refused.
+        by: VmName,
+    },
+    /// It cannot tell whether the call ran.
+    Unknown(Doubt),
+}
+
+/// Why another node gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerFault {
+    /// The call was not handed to the network.
+    Unsent,
+    /// The connection ended or went silent after the call was handed over.
+    Lost,
+}
+
+/// A stream of the platform log.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum StreamId {
+    /// Changes of configuration.
+    Config,
+    /// Members and leases of one service.
+    Members(ServiceName),
+}
+
+/// A record with what the log adds to it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LogRecord<T> {
+    /// Position in the stream.
+    pub offset: u64,
+    /// The log's timestamp.
+    pub at: WallTime,
+    /// The record.
+    pub body: T,
+}
+
+/// Records of one stream, in order.
+#[derive(Debug, Clone, PartialEq)]
+pub enum LogBatch {
+    /// Of the configuration stream.
+    Config {
+        /// Oldest offset that the log still has.
+        oldest: u64,
+        /// The records.
+        records: Vec<LogRecord<crate::config::Step>>,
+    },
+    /// Of a service's stream.
+    Members {
+        /// The service.
+        service: ServiceName,
+        /// Oldest offset that the log still has, with its timestamp.
+        oldest: (u64, WallTime),
+        /// The records.
+        records: Vec<LogRecord<MemberRecord>>,
+    },
+}
+
+/// One thing that happens to a node.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Input {
+    /// A call arrives.
+    Arrive(Arrival),
+    /// Nobody waits for a reply any longer.
+    CallerLeft(Ticket),
+    /// The upstream answered, or will not.
+    UpstreamDone {
+        /// The call.
+        call: CallKey,
+        /// The answer.
+        result: Result<Answer, UpstreamFault>,
+    },
+    /// Another node answered, or will not.
+    PeerDone {
+        /// The call.
+        call: CallKey,
+        /// Which of its sends.
+        attempt: u32,
+        /// The answer with the state of the gate.
+        result: Result<(PeerOutcome, GateReport), PeerFault>,
+    },
+    /// The upstream states its load.
+    UpstreamSlots {
+        /// Places that the upstream says it has.
+        slots: u32,
+    },
+    /// The upstream has come back with no work in progress.
+    UpstreamRestarted,
+    /// The platform log was read.
+    Log {
+        /// The records.
+        batch: LogBatch,
+        /// The log's own time.
+        log_now: WallTime,
+    },
+    /// Another node sent its configuration.
+    PeerConfig(Snapshot),
+    /// Another node said that it is leaving, or that `vm` is.
+    PeerLeaving(VmName),
+    /// Another node sent the members that it knows.
+    PeerMembers(Vec<MemberRecord>),
+    /// An operator's change reached the node by another way than the log.
+    Propose(Change),
+    /// The time of the next wake-up has come.
+    Wake,
+    /// The node is to stop.
+    Leave,
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/keeper.rs
@@ -0,0 +1,411 @@
+//! State folded from the platform log, and what the node appends to it.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::{
+    config::{Change, ChangeId, DocumentCheck, History, Verdict},
+    engine::{LogRecord, Output},
+    keys::{Epoch, Home, IdempotencyKey, LeaseChange, LeaseTerms, Slot},
+    member::{Member, MemberRecord, MemberState, Roster, SlotChange},
+    names::{ServiceName, VmName},
+    policy::Policy,
+    route::Standing,
+    time::{Time, WallTime},
+};
+
+/// Appends of a node in each lease term.
+const APPENDS_PER_TERM: u32 = 3;
+/// Least time between two lease claims.
+const CLAIM_PAUSE: Duration = Duration::from_secs(2);
+/// Least time between two questions for a newer configuration.
+const ASK_PAUSE: Duration = Duration::from_millis(500);
+/// Time over which nodes spread their repeats of the configuration.
+const CARRY_SPREAD: Duration = Duration::from_secs(60);
+
+/// A slot that this node holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct OwnHome {
+    /// Mint times that it accepts.
+    pub(crate) epoch: Epoch,
+    /// Whether the lease has certainly not run out.
+    pub(crate) is_live: bool,
+}
+
+/// What the platform log and other nodes have told this node.
+#[derive(Debug)]
+pub struct Keeper {
+    me: Member,
+    history: History,
+    rosters: BTreeMap<ServiceName, Roster>,
+    releasing: HashSet<Slot>,
+    lease_live_until: Time,
+    append_at: Option<Time>,
+    claim_at: Time,
+    asked_at: Option<Time>,
+    carry_at: Option<Time>,
+    retention: Duration,
+    random: SmallRng,
+    is_leaving: bool,
+    peer_members: HashMap<VmName, MemberRecord>,
+}
+
+impl Keeper {
+    /// A keeper that has read nothing; `retention` is the time for which the log keeps records.
+    pub fn new(me: Member, retention: Duration, seed: u64) -> Self {
+        let mut rosters = BTreeMap::new();
+        rosters.insert(me.service.clone(), Roster::default());
+        Self {
+            me,
+            history: History::new(),
+            rosters,
+            releasing: HashSet::new(),
+            lease_live_until: Time::ZERO,
+            append_at: None,
+            claim_at: Time::ZERO,
+            asked_at: None,
+            carry_at: None,
+            retention,
+            random: SmallRng::seed_from_u64(seed),
+            is_leaving: false,
+            peer_members: HashMap::new(),
+        }
+    }
+
+    /// Number of accepted changes of the configuration.
+    pub fn config_version(&self) -> u64 {
+        self.history.version()
+    }
+
+    /// The configuration and its verdicts.
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
+    /// The members and leases of `service`, if its stream is followed.
+    pub fn roster(&self, service: &ServiceName) -> Option<&Roster> {
+        self.rosters.get(service)
+    }
+
+    /// What became of the change `id`.
+    pub fn verdict(&self, id: ChangeId) -> Option<&Verdict> {
+        self.history.verdict(id)
+    }
+
+    /// Services whose streams are followed.
+    pub fn followed(&self) -> impl Iterator<Item = &ServiceName> {
+        self.rosters.keys()
+    }
+
+    /// Follows the streams of all `services`.
+    pub fn follow(&mut self, services: impl IntoIterator<Item = ServiceName>) {
+        for service in services {
+            self.rosters.entry(service).or_default();
+        }
+    }
+
+    /// Whether a node that has configuration `theirs` should be asked for it now.
+    pub(crate) fn wants_config(&self, now: Time, theirs: u64) -> bool {
+        let is_due = self.asked_at.is_none_or(|at| now.since(at) >= ASK_PAUSE);
+        theirs > self.history.version() && is_due
+    }
+
+    /// Notes that another node was asked for its configuration.
+    pub(crate) fn note_asked(&mut self, now: Time) {
+        self.asked_at = Some(now);
+    }
+
+    /// The last known holder of a key's home.
+    pub(crate) fn holder(
+        &self,
+        service: &ServiceName,
+        key: IdempotencyKey,
+        policy: &Policy,
+    ) -> Option<&VmName> {
+        let home = Home::of(key, service, policy)?;
+        let lease = self.rosters.get(service)?.leases().get(&home)?;
+        Some(&lease.holder)
+    }
+
+    /// The key's home, if this start of this node was the last to hold it.
+    pub(crate) fn own_home(
+        &self,
+        now: Time,
+        key: IdempotencyKey,
+        policy: &Policy,
+    ) -> Option<OwnHome> {
+        let home = Home::of(key, &self.me.service, policy)?;
+        let lease = self.rosters.get(&self.me.service)?.leases().get(&home)?;
+        let is_own = lease.holder == self.me.vm && lease.incarnation == self.me.incarnation;
+        if !is_own || self.releasing.contains(&home.slot) {
+            return None;
+        }
+        Some(OwnHome { epoch: lease.epoch, is_live: now < self.lease_live_until })
+    }
+
+    /// Whether this node holds `home` and accepts keys minted at `minted`.
+    pub fn accepts(&self, home: &Home, minted: WallTime) -> bool {
+        let lease = self.rosters.get(&self.me.service).and_then(|r| r.leases().get(home));
+        lease.is_some_and(|lease| {
+            lease.holder == self.me.vm
+                && lease.incarnation == self.me.incarnation
+                && !self.releasing.contains(&home.slot)
+                && minted > lease.epoch.floor
+                && minted <= lease.epoch.ceiling
+        })
+    }
+
+    /// Number of slots that this node holds.
+    pub fn slots_held(&self) -> usize {
+        self.held().count()
+    }
+
+    fn held(&self) -> impl Iterator<Item = Slot> {
+        self.rosters.get(&self.me.service).into_iter().flat_map(|roster| {
+            roster
+                .leases()
+                .held_by(&self.me.vm, self.me.incarnation, roster.log_now())
+                .map(|(home, _)| home.slot)
+        })
+    }
+
+    /// Folds what was read of the configuration stream. Returns whether the documents changed.
+    pub fn read_config(
+        &mut self,
+        oldest: u64,
+        records: &[LogRecord<crate::config::Step>],
+        check: &dyn DocumentCheck,
+    ) -> bool {
+        let before = self.history.version();
+        self.history.note_oldest(oldest);
+        for record in records {
+            self.history.apply(record.offset, record.at, &record.body, check);
+        }
+        self.history.version() > before
+    }
+
+    /// Takes over another node's configuration if it is ahead. Returns whether documents changed.
+    pub fn adopt_config(
+        &mut self,
+        snapshot: &crate::config::Snapshot,
+        check: &dyn DocumentCheck,
+    ) -> bool {
+        self.asked_at = None;
+        self.history.adopt(snapshot, check)
+    }
+
+    /// Folds what was read of a service's stream.
+    pub fn read_members(
+        &mut self,
+        service: &ServiceName,
+        oldest: (u64, WallTime),
+        records: &[LogRecord<MemberRecord>],
+        log_now: WallTime,
+    ) {
+        let roster = self.rosters.entry(service.clone()).or_default();
+        roster.note_oldest(oldest.0, oldest.1);
+        let mut live_until = self.lease_live_until;
+        for record in records {
+            let is_new = roster.apply(record.offset, record.at, &record.body);
+            let body = &record.body;
+            let is_own =
+                body.member.vm == self.me.vm && body.member.incarnation == self.me.incarnation;
+            if is_new && is_own && body.state == MemberState::Serving {
+                live_until = live_until.max(body.sent + body.terms.term);
+            }
+        }
+        roster.note_log_time(log_now);
+        self.lease_live_until = live_until;
+        let held: HashSet<Slot> = self.held().collect();
+        self.releasing.retain(|slot| held.contains(slot));
+    }
+
+    /// Members that have been still for too long.
+    pub(crate) fn take_expired(&mut self) -> Vec<Member> {
+        self.rosters.values_mut().flat_map(Roster::take_expired).collect()
+    }
+
+    /// Takes in members that another node knows, for the time in which the log cannot be read.
+    pub(crate) fn hear_members(&mut self, members: &[MemberRecord]) {
+        for record in members {
+            self.peer_members.insert(record.member.vm.clone(), record.clone());
+        }
+    }
+
+    /// All members that are known, from the log and from other nodes.
+    pub fn members(&self) -> Vec<MemberRecord> {
+        let mut found = self.peer_members.clone();
+        for entry in self.rosters.values().flat_map(Roster::iter) {
+            let terms = LeaseTerms { term: entry.term, skew: Duration::ZERO };
+            let record = MemberRecord {
+                member: entry.member.clone(),
+                state: entry.state,
+                terms,
+                sent: Time::ZERO,
+                slots: Vec::new(),
+            };
+            found.insert(entry.member.vm.clone(), record);
+        }
+        found.into_values().collect()
+    }
+
+    /// The earliest time at which [`Keeper::wake`] has something to do.
+    pub(crate) fn next_wake(&self) -> Time {
+        let append = self.append_at.unwrap_or(Time::ZERO);
+        append.min(self.claim_at.max(Time::from_nanos(1)))
+    }
+
+    /// Appends what is due: the sign of life with the renewals, a claim, the configuration.
+    ///
+    /// No key minted after `accepted` has been accepted.
+    pub(crate) fn wake(
+        &mut self,
+        now: Time,
+        policy: &Arc<Policy>,
+        accepted: WallTime,
+        out: &mut Vec<Output>,
+    ) {
+        if self.is_leaving {
+            return;
+        }
+        if self.append_at.is_none_or(|at| now >= at) {
+            self.append_sign(now, policy, out);
+        }
+        if now >= self.claim_at {
+            self.claim_at = now + CLAIM_PAUSE.mul_f64(self.random.random_range(0.75..1.25));
+            self.move_slots(now, policy, accepted, out);
+            self.carry_config(now, out);
+        }
+    }
+
+    fn append_sign(&mut self, now: Time, policy: &Policy, out: &mut Vec<Output>) {
+        let pause = policy.bounds.lease / APPENDS_PER_TERM;
+        self.append_at = Some(now + pause.mul_f64(self.random.random_range(0.8..1.0)));
+        let slots: Vec<SlotChange> = self
+            .held()
+            .filter(|slot| !self.releasing.contains(slot))
+            .map(|slot| SlotChange { slot, change: LeaseChange::Renew })
+            .collect();
+        out.push(Output::AppendMember(self.record(now, policy, MemberState::Serving, slots)));
+    }
+
+    fn record(
+        &self,
+        now: Time,
+        policy: &Policy,
+        state: MemberState,
+        slots: Vec<SlotChange>,
+    ) -> MemberRecord {
+        let terms = LeaseTerms { term: policy.bounds.lease, skew: policy.bounds.clock_skew };
+        MemberRecord { member: self.me.clone(), state, terms, sent: now, slots }
+    }
+
+    /// Claims free slots up to this node's part, or gives one up beyond it.
+    fn move_slots(
+        &mut self,
+        now: Time,
+        policy: &Policy,
+        accepted: WallTime,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(rule) = policy.service(&self.me.service) else { return };
+        let Some(roster) = self.rosters.get(&self.me.service) else { return };
+        if !policy.zones.contains(&self.me.zone) || roster.log_now() == WallTime::default() {
+            return;
+        }
+        let in_zone = roster
+            .iter()
+            .filter(|e| e.member.zone == self.me.zone && e.state == MemberState::Serving)
+            .count()
+            .max(1);
+        let part = usize::from(rule.key_slots).div_ceil(in_zone);
+        let held: Vec<Slot> = self.held().collect();
+        let home = |slot| Home { zone: self.me.zone.clone(), slot };
+        let free: Vec<Slot> = (0..rule.key_slots)
+            .map(Slot)
+            .filter(|&slot| roster.leases().is_free(&home(slot), roster.log_now()))
+            .collect();
+        let wanted = part.saturating_sub(held.len()).min(free.len());
+        if wanted > 0 {
+            let start = self.random.random_range(0..free.len());
+            let slots = free
+                .iter()
+                .cycle()
+                .skip(start)
+                .take(wanted)
+                .map(|&slot| SlotChange { slot, change: LeaseChange::Claim })
+                .collect();
+            out.push(Output::AppendMember(self.record(now, policy, MemberState::Serving, slots)));
+        } else if held.len() > part && self.releasing.is_empty() {
+            let slot = held[self.random.random_range(0..held.len())];
+            let change = LeaseChange::Release { accepted };
+            self.releasing.insert(slot);
+            let slots = vec![SlotChange { slot, change }];
+            out.push(Output::AppendMember(self.record(now, policy, MemberState::Serving, slots)));
+        }
+    }
+
+    /// Repeats the configuration in the log before its records expire.
+    fn carry_config(&mut self, now: Time, out: &mut Vec<Output>) {
+        let log_now =
+            self.rosters.get(&self.me.service).map_or(WallTime::default(), Roster::log_now);
+        if log_now == WallTime::default() || !self.history.needs_carrying(log_now, self.retention) {
+            self.carry_at = None;
+            return;
+        }
+        let spread = CARRY_SPREAD.min(self.retention / 8);
+        match self.carry_at {
+            None => {
+                self.carry_at = Some(now + spread.mul_f64(self.random.random()));
+            }
+            Some(at) if now >= at => {
+                self.carry_at = Some(now + spread);
+                out.extend(self.history.snapshot().map(Output::AppendSnapshot));
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Passes an operator's change on to the log.
+    pub(crate) fn propose(&self, change: Change, out: &mut Vec<Output>) {
+        out.push(Output::AppendChange(change));
+    }
+
+    /// Says that the node takes no new work; its slots stay with it until [`Keeper::leave`].
+    pub(crate) fn announce_draining(&mut self, now: Time, policy: &Policy, out: &mut Vec<Output>) {
+        self.is_leaving = true;
+        let record = self.record(now, policy, MemberState::Draining, Vec::new());
+        out.push(Output::AppendMember(record));
+    }
+
+    /// Gives up every slot; no key minted after `accepted` was accepted.
+    pub(crate) fn leave(&mut self, policy: &Policy, accepted: WallTime, out: &mut Vec<Output>) {
+        let slots: Vec<SlotChange> = self
+            .held()
+            .map(|slot| SlotChange { slot, change: LeaseChange::Release { accepted } })
+            .collect();
+        if !slots.is_empty() {
+            let now = Time::ZERO;
+            out.push(Output::AppendMember(self.record(now, policy, MemberState::Draining, slots)));
+        }
+    }
+
+    /// Instances of `service` that the log announces, with their standing.
+    pub(crate) fn announced(
+        &self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = (&Member, Standing)> {
+        self.rosters.get(service).into_iter().flat_map(Roster::iter).map(|entry| {
+            let standing = match entry.state {
+                MemberState::Serving => Standing::Serving,
+                MemberState::Draining => Standing::Draining,
+            };
+            (&entry.member, standing)
+        })
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/live.rs
@@ -0,0 +1,86 @@
+//! Calls in progress.
+
+use std::time::Duration;
+
+use slotmap::new_key_type;
+
+use crate::{
+    call::{Admitted, Arrived, Call, Dispatched, Effect, RequestId, RetryBudget, Sent},
+    engine::{Origin, Ticket},
+    policy::RankIndex,
+    route::InstanceKey,
+    time::Time,
+};
+
+new_key_type! {
+    /// Key of a call in progress on this node.
+    pub struct CallKey;
+}
+
+/// Where a call is.
+#[derive(Debug)]
+pub(crate) enum Stage {
+    /// In the gate's queue.
+    Waiting(Call<Admitted>),
+    /// In the upstream.
+    Running(Call<Dispatched>),
+    /// At another node.
+    Away(Call<Sent>),
+    /// Behind an earlier call with the same key.
+    Following(Call<Arrived>),
+    /// Between two stages, while a transition runs.
+    Moving,
+}
+
+/// A call in progress with its accounting.
+#[derive(Debug)]
+pub(crate) struct Live {
+    /// Where it is.
+    pub(crate) stage: Stage,
+    /// Who waits for the reply; `None` once nobody does.
+    pub(crate) ticket: Option<Ticket>,
+    /// Where it came from.
+    pub(crate) origin: Origin,
+    /// Its rank.
+    pub(crate) rank: RankIndex,
+    /// Its effect.
+    pub(crate) effect: Effect,
+    /// Its deadline.
+    pub(crate) deadline: Time,
+    /// The whole request that it belongs to.
+    pub(crate) request: RequestId,
+    /// What its parent lent to it.
+    pub(crate) lent: RetryBudget,
+    /// Retries that it may still cause, without those that its present send carries.
+    pub(crate) budget: RetryBudget,
+    /// Part of its budget that the present send carries.
+    pub(crate) carried: RetryBudget,
+    /// Number of its present send.
+    pub(crate) attempt: u32,
+    /// Instance of its present send.
+    pub(crate) instance: Option<InstanceKey>,
+    /// Calls in the upstream when it was dispatched.
+    pub(crate) in_flight: usize,
+    /// Outbound calls that the upstream makes for it at present.
+    pub(crate) children: u32,
+    /// When the first of those began.
+    pub(crate) children_since: Time,
+    /// Time that the upstream has spent waiting for outbound calls.
+    pub(crate) children_time: Duration,
+}
+
+impl Live {
+    pub(crate) fn begin_child(&mut self, now: Time) {
+        if self.children == 0 {
+            self.children_since = now;
+        }
+        self.children += 1;
+    }
+
+    pub(crate) fn end_child(&mut self, now: Time) {
+        self.children = self.children.saturating_sub(1);
+        if self.children == 0 {
+            self.children_time += now.since(self.children_since);
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/mechanisms.rs
@@ -0,0 +1,28 @@
+//! Which mechanisms a node uses; the others serve as baselines of measurements.
+
+/// Switches for the mechanisms that act across nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Mechanisms {
+    /// Whether all hops shed by the same order of requests.
+    pub has_common_order: bool,
+    /// Whether shares of deeper gates are carried back, and entry nodes act on them.
+    pub has_path_shares: bool,
+    /// Whether retries come from one budget for the whole request.
+    pub has_shared_budget: bool,
+    /// Whether silent connections are replaced.
+    pub has_silence_watch: bool,
+    /// Whether the keys of non-idempotent calls are kept to one run.
+    pub has_ledger: bool,
+}
+
+impl Default for Mechanisms {
+    fn default() -> Self {
+        Self {
+            has_common_order: true,
+            has_path_shares: true,
+            has_shared_budget: true,
+            has_silence_watch: true,
+            has_ledger: true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/mod.rs
@@ -0,0 +1,35 @@
+//! One node's decisions behind one input and one output type.
+//!
+//! [`Node`] takes an [`Input`] with the present time and appends [`Output`]s.
+//! It holds the calls in progress ([`Calls`]) and the state folded from the platform log
+//! ([`Keeper`]). An adapter carries each output out and feeds the result back as an input.
+
+mod arrivals;
+mod calls;
+mod ending;
+mod event;
+mod input;
+mod keeper;
+mod live;
+mod mechanisms;
+mod node;
+mod output;
+mod phase;
+mod returns;
+mod sending;
+mod timers;
+mod view;
+
+pub use calls::{Calls, CallsOptions};
+pub use event::{Event, EventKind};
+pub use input::{
+    Arrival, Input, LogBatch, LogRecord, Origin, PeerFault, PeerOutcome, Port, StreamId, Ticket,
+    UpstreamFault,
+};
+pub use keeper::Keeper;
+pub use live::CallKey;
+pub use mechanisms::Mechanisms;
+pub use node::{Node, NodeOptions, PolicySource};
+pub use output::Output;
+pub use phase::{Draining, Life, Phase, Serving, Starting};
+pub use view::{InstanceView, NodeView, RankView};
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/node.rs
@@ -0,0 +1,423 @@
+//! The whole node.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use crate::{
+    config::DocumentCheck,
+    engine::{
+        Calls, CallsOptions, EventKind, Input, InstanceView, Keeper, Life, LogBatch, NodeView,
+        Output, Phase, RankView, calls::Cx,
+    },
+    keys::{Home, IdempotencyKey, LeaseTerms},
+    member::{Member, MemberRecord, MemberState},
+    names::{ServiceName, VmName},
+    policy::{Policy, RankIndex},
+    route::{Instance, Standing},
+    time::{Time, WallTime},
+};
+
+/// Time between two questions to the seeds.
+const SEED_PAUSE: Duration = Duration::from_secs(1);
+/// Tries to find a key whose home is here.
+const MINT_TRIES: usize = 4096;
+
+/// The port through which documents become a policy.
+pub trait PolicySource: DocumentCheck {
+    /// The policy of this node's site, or `None` while there is no base document.
+    fn policy(&self, keeper: &Keeper) -> Option<Policy>;
+}
+
+/// Parameters of [`Node`].
+pub struct NodeOptions {
+    /// Who the node is.
+    pub me: Member,
+    /// The policy before any configuration has been read.
+    pub first_policy: Arc<Policy>,
+    /// Parameters of the calls.
+    pub calls: CallsOptions,
+    /// Time for which the log keeps records.
+    pub retention: Duration,
+    /// Nodes to ask while the platform log is down.
+    pub seeds: Vec<(VmName, SocketAddr)>,
+    /// How documents are checked and read.
+    pub source: Box<dyn PolicySource + Send>,
+}
+
+/// One node: its calls, its keeper and its phase.
+pub struct Node {
+    me: Member,
+    calls: Calls,
+    keeper: Keeper,
+    life: Life,
+    source: Box<dyn PolicySource + Send>,
+    seeds: Vec<(VmName, SocketAddr)>,
+    ask_seeds_at: Time,
+    slots_noted: usize,
+    has_left: bool,
+}
+
+impl Node {
+    /// A node that has read nothing.
+    pub fn new(options: NodeOptions) -> Self {
+        let seed = options.calls.seed;
+        Self {
+            calls: Calls::new(options.me.clone(), options.first_policy, options.calls),
+            keeper: Keeper::new(options.me.clone(), options.retention, seed),
+            me: options.me,
+            life: Life::Starting(Phase::start()),
+            source: options.source,
+            seeds: options.seeds,
+            ask_seeds_at: Time::ZERO,
+            slots_noted: 0,
+            has_left: false,
+        }
+    }
+
+    /// Takes in what happened and appends what is to be done.
+    pub fn handle(&mut self, now: Time, wall: WallTime, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Arrive(arrival) => {
+                self.with_calls(now, wall, out, |calls, cx| calls.arrive(cx, arrival));
+            }
+            Input::CallerLeft(ticket) => {
+                self.with_calls(now, wall, out, |calls, cx| calls.caller_left(cx, ticket));
+            }
+            Input::UpstreamDone { call, result } => {
+                self.with_calls(now, wall, out, |calls, cx| calls.upstream_done(cx, call, result));
+            }
+            Input::PeerDone { call, attempt, result } => {
+                self.peer_done(now, wall, out, call, attempt, result);
+            }
+            Input::UpstreamSlots { slots } => self.hint_slots(slots),
+            Input::UpstreamRestarted => self.calls.restart_gate(None),
+            Input::Log { batch, log_now } => self.read_log(now, batch, log_now, out),
+            Input::PeerConfig(snapshot) => {
+                if self.keeper.adopt_config(&snapshot, self.source.as_ref()) {
+                    self.take_policy(now, out);
+                }
+            }
+            Input::PeerLeaving(vm) => {
+                if let Some((key, _)) = self.calls.router().by_vm(&vm) {
+                    self.calls.router_mut().note_draining(key);
+                }
+            }
+            Input::PeerMembers(members) => self.hear_members(now, &members),
+            Input::Propose(change) => self.keeper.propose(change, out),
+            Input::Wake => self.wake(now, wall, out),
+            Input::Leave => self.leave(now, wall, out),
+        }
+        self.follow_called(out);
+        self.say_if_left(out);
+    }
+
+    /// The earliest time at which the node wants an [`Input::Wake`].
+    pub fn next_wake(&self) -> Time {
+        match self.life {
+            Life::Serving(_) => self.calls.next_wake().min(self.keeper.next_wake()),
+            _ => self.calls.next_wake(),
+        }
+    }
+
+    /// The calls in progress.
+    pub fn calls(&self) -> &Calls {
+        &self.calls
+    }
+
+    /// The state folded from the log.
+    pub fn keeper(&self) -> &Keeper {
+        &self.keeper
+    }
+
+    /// The present phase.
+    pub fn life(&self) -> &Life {
+        &self.life
+    }
+
+    /// What the node is to other nodes.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// A key whose home is on this node, so that it can be used while the zone is cut off.
+    pub fn mint_key(&mut self, wall: WallTime) -> Option<IdempotencyKey> {
+        for _ in 0..MINT_TRIES {
+            let random = u128::from(self.calls.random()) << 64 | u128::from(self.calls.random());
+            let key = IdempotencyKey::mint(wall, random);
+            let home = Home::of(key, &self.me.service, self.calls.policy())?;
+            if self.keeper.accepts(&home, wall) {
+                return Some(key);
+            }
+        }
+        None
+    }
+
+    /// Marks the node as serving with the policy it was made with.
+    pub fn serve(&mut self) {
+        self.life.serve();
+    }
+
+    /// Adds an instance to the routes.
+    pub fn add_instance(&mut self, now: Time, member: &Member, standing: Standing) {
+        let ranks = self.calls.policy().ranks.len();
+        let mut instance = Instance::new(
+            now,
+            member.vm.clone(),
+            member.zone.clone(),
+            member.addr,
+            member.incarnation,
+            ranks,
+        );
+        instance.standing = standing;
+        self.calls.router_mut().upsert(&member.service, instance);
+    }
+
+    /// A summary for status pages and metrics.
+    pub fn view(&mut self, now: Time) -> NodeView {
+        let ranks = self.rank_views(now);
+        let calls = &self.calls;
+        let instances = calls.router().iter().map(|(service, instance)| InstanceView {
+            service: service.clone(),
+            vm: instance.vm.clone(),
+            zone: instance.zone.clone(),
+            addr: instance.addr,
+            is_open: instance.is_open(now),
+            outstanding: instance.outstanding,
+        });
+        NodeView {
+            vm: self.me.vm.clone(),
+            service: self.me.service.clone(),
+            zone: self.me.zone.clone(),
+            phase: self.life.word(),
+            config: self.keeper.config_version(),
+            limit: calls.gate().limit(),
+            in_flight: calls.gate().in_flight(),
+            queued: calls.gate().queued(),
+            slots: self.keeper.slots_held(),
+            keys: calls.ledger().len(),
+            instances: instances.collect(),
+            ranks,
+        }
+    }
+
+    fn rank_views(&mut self, now: Time) -> Vec<RankView> {
+        let policy = self.calls.policy().clone();
+        let views = policy.ranks.iter().enumerate().map(|(index, rank)| {
+            let index = RankIndex(index as u8);
+            RankView {
+                rank: rank.name.clone(),
+                share: self.calls.gate().share(index).fraction(),
+                path_share: self.calls.path_share(now, index).fraction(),
+            }
+        });
+        views.collect()
+    }
+
+    fn with_calls(
+        &mut self,
+        now: Time,
+        wall: WallTime,
+        out: &mut Vec<Output>,
+        act: impl FnOnce(&mut Calls, &mut Cx<'_>),
+    ) {
+        let mut cx = Cx { now, wall, life: &self.life, keeper: &self.keeper, out };
+        act(&mut self.calls, &mut cx);
+    }
+
+    fn peer_done(
+        &mut self,
+        now: Time,
+        wall: WallTime,
+        out: &mut Vec<Output>,
+        call: crate::engine::CallKey,
+        attempt: u32,
+        result: Result<
+            (crate::engine::PeerOutcome, crate::route::GateReport),
+            crate::engine::PeerFault,
+        >,
+    ) {
+        let from = out.len();
+        self.with_calls(now, wall, out, |calls, cx| calls.peer_done(cx, call, attempt, result));
+        if out[from..].iter().any(|o| matches!(o, Output::AskConfig { .. })) {
+            self.keeper.note_asked(now);
+        }
+    }
+
+    fn hint_slots(&mut self, slots: u32) {
+        // The upstream's own word may lag or be wrong, so it only starts a limit that has no
+        // sample of its own yet.
+        if self.calls.gate().hold().is_none() {
+            self.calls.restart_gate(Some(slots as usize));
+        }
+    }
+
+    fn wake(&mut self, now: Time, wall: WallTime, out: &mut Vec<Output>) {
+        if now >= self.calls.next_wake() {
+            self.with_calls(now, wall, out, |calls, cx| calls.wake(cx));
+        }
+        let policy = self.calls.policy().clone();
+        match self.life {
+            Life::Starting(_) => self.ask_seeds(now, out),
+            Life::Serving(_) => {
+                self.keeper.wake(now, &policy, self.calls.latest_accepted, out);
+            }
+            Life::Draining(_) => {}
+        }
+    }
+
+    fn read_log(&mut self, now: Time, batch: LogBatch, log_now: WallTime, out: &mut Vec<Output>) {
+        match batch {
+            LogBatch::Config { oldest, records } => {
+                if self.keeper.read_config(oldest, &records, self.source.as_ref()) {
+                    self.take_policy(now, out);
+                }
+            }
+            LogBatch::Members { service, oldest, records } => {
+                self.keeper.read_members(&service, oldest, &records, log_now);
+                self.route_members(now, &service, out);
+            }
+        }
+    }
+
+    /// Brings the routes of `service` up to what the log announces.
+    fn route_members(&mut self, now: Time, service: &ServiceName, out: &mut Vec<Output>) {
+        let announced: Vec<(Member, Standing)> = self
+            .keeper
+            .announced(service)
+            .filter(|(member, _)| member.vm != self.me.vm)
+            .map(|(member, standing)| (member.clone(), standing))
+            .collect();
+        for (member, standing) in &announced {
+            let is_new = self.calls.router().by_vm(&member.vm).is_none();
+            self.add_instance(now, member, *standing);
+            if is_new {
+                note_route(out, &member.vm, "announced itself");
+            }
+        }
+        for gone in self.keeper.take_expired() {
+            // A member that still answers is not taken out for its silence in the log.
+            let still_answers = self.calls.router().by_vm(&gone.vm).is_some_and(|(_, instance)| {
+                instance.failures() == 0 && instance.last_heard().is_some()
+            });
+            if !still_answers {
+                self.calls.router_mut().remove(&gone.vm);
+                note_route(out, &gone.vm, "gave no sign of life");
+            }
+        }
+        self.note_slots(out);
+    }
+
+    fn note_slots(&mut self, out: &mut Vec<Output>) {
+        let held = self.keeper.slots_held();
+        if held != self.slots_noted {
+            let kind = EventKind::LeasesChanged { from: self.slots_noted, to: held };
+            out.push(Output::Note(crate::engine::Event { request: None, rank: None, kind }));
+            self.slots_noted = held;
+        }
+    }
+
+    fn hear_members(&mut self, now: Time, members: &[MemberRecord]) {
+        self.keeper.hear_members(members);
+        for record in members {
+            let member = &record.member;
+            if member.vm == self.me.vm {
+                continue;
+            }
+            let standing = match record.state {
+                MemberState::Serving => Standing::Serving,
+                MemberState::Draining => Standing::Draining,
+            };
+            self.add_instance(now, member, standing);
+        }
+    }
+
+    fn take_policy(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Some(policy) = self.source.policy(&self.keeper) else { return };
+        let called = policy.service(&self.me.service).map(|rule| rule.calls.clone());
+        self.calls.set_policy(now, Arc::new(policy));
+        self.follow(called.unwrap_or_default(), out);
+        let kind = EventKind::ConfigInForce { version: self.keeper.config_version() };
+        out.push(Output::Note(crate::engine::Event { request: None, rank: None, kind }));
+        if matches!(self.life, Life::Starting(_)) {
+            self.life.serve();
+            self.note_phase(out);
+        }
+    }
+
+    /// Reads the streams of services that are not followed yet.
+    fn follow(&mut self, services: Vec<ServiceName>, out: &mut Vec<Output>) {
+        let new: Vec<ServiceName> =
+            services.into_iter().filter(|s| self.keeper.roster(s).is_none()).collect();
+        if !new.is_empty() {
+            self.keeper.follow(new.iter().cloned());
+            out.push(Output::Follow(new));
+        }
+    }
+
+    /// Follows the services that calls were sent to for the first time.
+    fn follow_called(&mut self, out: &mut Vec<Output>) {
+        let called = self.calls.take_newly_called();
+        if !called.is_empty() {
+            self.follow(called, out);
+        }
+    }
+
+    /// Asks other nodes for what the log cannot tell, while there is no configuration.
+    fn ask_seeds(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.seeds.is_empty() || now < self.ask_seeds_at {
+            return;
+        }
+        self.ask_seeds_at = now + SEED_PAUSE;
+        for (vm, to) in &self.seeds {
+            out.push(Output::AskConfig { to: *to, vm: vm.clone() });
+            out.push(Output::AskMembers { to: *to, vm: vm.clone(), own: self.own_record() });
+        }
+    }
+
+    /// What the node says of itself.
+    fn own_record(&self) -> MemberRecord {
+        let bounds = &self.calls.policy().bounds;
+        MemberRecord {
+            member: self.me.clone(),
+            state: MemberState::Serving,
+            terms: LeaseTerms { term: bounds.lease, skew: bounds.clock_skew },
+            sent: Time::ZERO,
+            slots: Vec::new(),
+        }
+    }
+
+    fn leave(&mut self, now: Time, wall: WallTime, out: &mut Vec<Output>) {
+        if self.life.is_draining() {
+            return;
+        }
+        self.life.drain(now);
+        self.note_phase(out);
+        let policy = self.calls.policy().clone();
+        self.keeper.announce_draining(now, &policy, out);
+        let peers = self.calls.router().iter().filter(|(_, i)| i.last_heard().is_some());
+        out.push(Output::TellLeaving(peers.map(|(_, i)| (i.vm.clone(), i.addr)).collect()));
+        self.with_calls(now, wall, out, |calls, cx| calls.leave_queue(cx));
+    }
+
+    /// Gives the key slots up once nothing is in progress.
+    fn say_if_left(&mut self, out: &mut Vec<Output>) {
+        let Life::Draining(_) = self.life else { return };
+        if self.has_left || !self.calls.is_empty() {
+            return;
+        }
+        self.has_left = true;
+        let policy = self.calls.policy().clone();
+        let accepted = self.calls.latest_accepted;
+        self.keeper.leave(&policy, accepted, out);
+        out.push(Output::Stopped);
+    }
+
+    fn note_phase(&self, out: &mut Vec<Output>) {
+        let kind = EventKind::PhaseChanged { to: self.life.word() };
+        out.push(Output::Note(crate::engine::Event { request: None, rank: None, kind }));
+    }
+}
+
+fn note_route(out: &mut Vec<Output>, vm: &crate::names::VmName, what: &'static str) {
+    let kind = EventKind::RouteChanged { vm: vm.clone(), what };
+    out.push(Output::Note(crate::engine::Event { request: None, rank: None, kind }));
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/output.rs
@@ -0,0 +1,103 @@
+//! Everything that a node asks its adapters to do.
+
+use std::net::SocketAddr;
+
+use crate::{
+    call::{Context, Outcome, Payload, RetryBudget},
+    config::{Change, Snapshot},
+    engine::{CallKey, Event, Ticket},
+    member::MemberRecord,
+    names::{ServiceName, VmName},
+    route::GateReport,
+};
+
+/// One thing that a node asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    /// Tell whoever holds `ticket`.
+    Reply {
+        /// Who waits.
+        ticket: Ticket,
+        /// What to tell.
+        outcome: Outcome,
+        /// State of the gate, for other nodes.
+        report: GateReport,
+    },
+    /// Hand a call to the upstream.
+    Dispatch {
+        /// The call; the upstream names it in its own outbound calls.
+        call: CallKey,
+        /// What travels with it.
+        context: Context,
+        /// Its content.
+        payload: Payload,
+    },
+    /// Tell the upstream that nobody waits for a call.
+    CancelDispatch {
+        /// The call.
+        call: CallKey,
+    },
+    /// Hand a call to another node.
+    Send {
+        /// The call.
+        call: CallKey,
+        /// Which of its sends.
+        attempt: u32,
+        /// VM of the other node.
+        vm: VmName,
+        /// Its address.
+        to: SocketAddr,
+        /// The service.
+        service: ServiceName,
+        /// What travels with it.
+        context: Context,
+        /// Retries that the other node may cause.
+        budget: RetryBudget,
+        /// Its content.
+        payload: Payload,
+    },
+    /// Tell another node that nobody waits for a call.
+    CancelSend {
+        /// The call.
+        call: CallKey,
+        /// Which of its sends.
+        attempt: u32,
+    },
+    /// Replace the connection to another node.
+    Reconnect {
+        /// VM of the other node.
+        vm: VmName,
+        /// Its address.
+        to: SocketAddr,
+    },
+    /// Append to the stream of the node's own service.
+    AppendMember(MemberRecord),
+    /// Append a snapshot to the configuration stream.
+    AppendSnapshot(Snapshot),
+    /// Append an operator's change to the configuration stream.
+    AppendChange(Change),
+    /// Read the streams of these services besides the node's own.
+    Follow(Vec<ServiceName>),
+    /// Ask another node for its configuration, because it has a newer one.
+    AskConfig {
+        /// Its address.
+        to: SocketAddr,
+        /// VM of the other node.
+        vm: VmName,
+    },
+    /// Ask another node for the members that it knows.
+    AskMembers {
+        /// Its address.
+        to: SocketAddr,
+        /// VM of the other node.
+        vm: VmName,
+        /// What this node says of itself.
+        own: MemberRecord,
+    },
+    /// Tell these nodes that this one is leaving.
+    TellLeaving(Vec<(VmName, SocketAddr)>),
+    /// Note an event on the time line.
+    Note(Event),
+    /// Nothing is in progress and the node may stop.
+    Stopped,
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/phase.rs
@@ -0,0 +1,95 @@
+//! The life of a node as types.
+
+use crate::time::Time;
+
+/// The node has no configuration yet.
+#[derive(Debug, Clone, Copy)]
+pub struct Starting(());
+
+/// The node takes calls.
+#[derive(Debug, Clone, Copy)]
+pub struct Serving(());
+
+/// The node takes no new work and finishes what it has.
+#[derive(Debug, Clone, Copy)]
+pub struct Draining {
+    since: Time,
+}
+
+/// A node in the phase `S`. Phases only move forward.
+#[derive(Debug, Clone, Copy)]
+pub struct Phase<S>(S);
+
+impl Phase<Starting> {
+    /// The first phase.
+    pub fn start() -> Self {
+        Phase(Starting(()))
+    }
+
+    /// A configuration is in force.
+    pub fn serve(self) -> Phase<Serving> {
+        Phase(Serving(()))
+    }
+
+    /// A stop was asked for before the node served.
+    pub fn drain(self, now: Time) -> Phase<Draining> {
+        Phase(Draining { since: now })
+    }
+}
+
+impl Phase<Serving> {
+    /// A stop was asked for.
+    pub fn drain(self, now: Time) -> Phase<Draining> {
+        Phase(Draining { since: now })
+    }
+}
+
+impl Phase<Draining> {
+    /// When the stop was asked for.
+    pub fn since(&self) -> Time {
+        self.0.since
+    }
+}
+
+/// The present phase of a node.
+#[derive(Debug, Clone, Copy)]
+pub enum Life {
+    /// No configuration yet.
+    Starting(Phase<Starting>),
+    /// Takes calls.
+    Serving(Phase<Serving>),
+    /// Finishes what it has.
+    Draining(Phase<Draining>),
+}
+
+impl Life {
+    /// Moves a starting node to serving.
+    pub fn serve(&mut self) {
+        if let Life::Starting(phase) = *self {
+            *self = Life::Serving(phase.serve());
+        }
+    }
+
+    /// Moves a node to draining.
+    pub fn drain(&mut self, now: Time) {
+        match *self {
+            Life::Starting(phase) => *self = Life::Draining(phase.drain(now)),
+            Life::Serving(phase) => *self = Life::Draining(phase.drain(now)),
+            Life::Draining(_) => {}
+        }
+    }
+
+    /// Whether the node is draining.
+    pub fn is_draining(&self) -> bool {
+        matches!(self, Life::Draining(_))
+    }
+
+    /// A word for status pages.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Life::Starting(_) => "starting",
+            Life::Serving(_) => "serving",
+            Life::Draining(_) => "draining",
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/returns.rs
@@ -0,0 +1,243 @@
+//! What happens when an upstream or another node answers, or fails to.
+
+use crate::{
+    call::{Answer, Arrived, Call, Doubt, Effect, NothingWritten, Outcome, Refusal, Sent},
+    engine::{
+        CallKey, Calls, Origin, Output, PeerFault, PeerOutcome, UpstreamFault,
+        arrivals::wait_after, calls::Cx, live::Stage,
+    },
+    gate::{Completion, GateStep},
+    route::GateReport,
+};
+
+impl Calls {
+    /// Carries out what the gate decided.
+    pub(crate) fn take_steps(&mut self, cx: &mut Cx<'_>, steps: Vec<GateStep>) {
+        for step in steps {
+            match step {
+                GateStep::Dispatch(key) => self.dispatch(cx, key),
+                GateStep::Refuse(key, reason) => self.refuse_waiting(cx, key, reason),
+            }
+        }
+    }
+
+    fn dispatch(&mut self, cx: &mut Cx<'_>, key: CallKey) {
+        let Some(call) = self.take_waiting(key) else { return };
+        cx.out.push(Output::Dispatch {
+            call: key,
+            context: call.context().clone(),
+            payload: call.payload().clone(),
+        });
+        let in_flight = self.gate.in_flight();
+        let live = &mut self.live[key];
+        live.in_flight = in_flight;
+        live.stage = Stage::Running(call.dispatch(cx.now));
+    }
+
+    fn refuse_waiting(&mut self, cx: &mut Cx<'_>, key: CallKey, reason: Refusal) {
+        let Some(call) = self.take_waiting(key) else { return };
+        if let Effect::Once(id) = call.context().effect {
+            self.forget_unrun(id);
+        }
+        let is_entry = self.live[key].origin == Origin::Caller;
+        let may_move = is_entry && reason.is_elsewhere() && call.context().effect.key().is_none();
+        if may_move {
+            let call = call.give_up_place();
+            return self.send_again(cx, key, call, "its gate was full", |calls, call| {
+                Outcome::NotRun(calls.refuse(call, reason))
+            });
+        }
+        let not_run = call.refuse(reason, wait_after(reason), self.me.vm.clone());
+        self.finish(cx, key, Outcome::NotRun(not_run));
+    }
+
+    fn forget_unrun(&mut self, id: crate::keys::IdempotencyKey) {
+        self.ledger.withdraw(id);
+        self.running_keys.remove(&id);
+    }
+
+    /// Takes in the upstream's answer, or the news that there will be none.
+    pub(crate) fn upstream_done(
+        &mut self,
+        cx: &mut Cx<'_>,
+        key: CallKey,
+        result: Result<Answer, UpstreamFault>,
+    ) {
+        let call = match self.take_stage(key) {
+            Some(Stage::Running(call)) => call,
+            Some(other) => {
+                self.live[key].stage = other;
+                return;
+            }
+            None => return,
+        };
+        let is_fault = result.as_ref().map_or(true, Answer::is_overload);
+        self.complete(cx, key, call.state().at, is_fault);
+        match result {
+            Ok(answer) => {
+                if let Effect::Once(id) = call.context().effect {
+                    self.ledger.finish(id, answer.clone());
+                    self.running_keys.remove(&id);
+                }
+                let outcome = call.answer(answer);
+                self.finish(cx, key, outcome);
+            }
+            Err(UpstreamFault::NotConnected) => {
+                let call = call.take_back(NothingWritten::no_connection());
+                self.live[key].stage = Stage::Waiting(call);
+                self.refuse_waiting(cx, key, Refusal::Unsent);
+            }
+            Err(UpstreamFault::Lost) => match call.take_back_idempotent() {
+                Ok(call) => self.run_again(cx, key, call),
+                Err(call) => {
+                    let outcome = call.lose(Doubt::AnswerLost);
+                    self.finish_lost(cx, key, outcome);
+                }
+            },
+        }
+    }
+
+    /// Frees the place of a call that ran since `at`, and tells the gate how it went.
+    pub(crate) fn complete(
+        &mut self,
+        cx: &mut Cx<'_>,
+        key: CallKey,
+        at: crate::time::Time,
+        is_fault: bool,
+    ) {
+        let Some(live) = self.live.get_mut(key) else { return };
+        let open =
+            if live.children > 0 { cx.now.since(live.children_since) } else { Default::default() };
+        let hold = cx.now.since(at);
+        let own = hold.saturating_sub(live.children_time + open);
+        let done = Completion { hold, own, in_flight: live.in_flight, is_fault };
+        let mut steps = Vec::new();
+        self.gate.complete(cx.now, done, &mut steps);
+        self.take_steps(cx, steps);
+    }
+
+    fn run_again(&mut self, cx: &mut Cx<'_>, key: CallKey, call: Call<Arrived>) {
+        if self.live[key].origin != Origin::Caller {
+            let unknown = call.doubt(Doubt::AnswerLost);
+            return self.finish(cx, key, Outcome::Unknown(unknown));
+        }
+        self.send_again(cx, key, call, "its answer was lost", |_, call| {
+            Outcome::Unknown(call.doubt(Doubt::AnswerLost))
+        });
+    }
+
+    /// Ends a keyed call whose answer was lost; its key keeps that state.
+    pub(crate) fn finish_lost(&mut self, cx: &mut Cx<'_>, key: CallKey, outcome: Outcome) {
+        if let Some(id) = self.live[key].effect.key() {
+            self.ledger.lose(id);
+            self.running_keys.remove(&id);
+        }
+        self.finish(cx, key, outcome);
+    }
+
+    /// Takes in another node's answer, or the news that there will be none.
+    pub(crate) fn peer_done(
+        &mut self,
+        cx: &mut Cx<'_>,
+        key: CallKey,
+        attempt: u32,
+        result: Result<(PeerOutcome, GateReport), PeerFault>,
+    ) {
+        let Some(live) = self.live.get(key) else { return };
+        if live.attempt != attempt || !matches!(live.stage, Stage::Away(_)) {
+            return;
+        }
+        let Some(Stage::Away(call)) = self.take_stage(key) else { return };
+        match result {
+            Ok((outcome, report)) => self.peer_answered(cx, key, call, outcome, report),
+            Err(fault) => self.peer_failed(cx, key, call, fault),
+        }
+    }
+
+    fn peer_answered(
+        &mut self,
+        cx: &mut Cx<'_>,
+        key: CallKey,
+        call: Call<Sent>,
+        outcome: PeerOutcome,
+        report: GateReport,
+    ) {
+        let live = &mut self.live[key];
+        live.budget.restore(live.carried, report.unspent);
+        let (rank, instance) = (live.rank, live.instance);
+        if let Some(instance) = instance {
+            let latency = cx.now.since(call.state().at);
+            self.router.note_answer(cx.now, instance, rank, latency, report);
+            self.ask_newer_config(cx, instance, report);
+        }
+        match outcome {
+            PeerOutcome::Answered(answer) => {
+                let outcome = call.answer(answer);
+                self.finish(cx, key, outcome);
+            }
+            PeerOutcome::Unknown(doubt) => self.peer_in_doubt(cx, key, call, doubt),
+            PeerOutcome::NotRun { reason, retry_after, by } => {
+                let is_naive = !self.options.mechanisms.has_shared_budget;
+                let may_move = call.context().effect.key().is_none()
+                    && (reason.is_elsewhere() || (is_naive && reason.is_temporary()));
+                if may_move {
+                    let otherwise = move |_: &Self, call: Call<Arrived>| {
+                        Outcome::NotRun(call.refuse(reason, retry_after, by))
+                    };
+                    return self.send_again(cx, key, call.take_back(), "it was refused", otherwise);
+                }
+                let not_run = call.not_run(reason, retry_after, by);
+                self.finish(cx, key, Outcome::NotRun(not_run));
+            }
+        }
+    }
+
+    fn peer_in_doubt(&mut self, cx: &mut Cx<'_>, key: CallKey, call: Call<Sent>, doubt: Doubt) {
+        let is_lost = doubt == Doubt::AnswerLost && call.context().effect == Effect::Idempotent;
+        if is_lost {
+            let otherwise =
+                move |_: &Self, call: Call<Arrived>| Outcome::Unknown(call.doubt(doubt));
+            return self.send_again(cx, key, call.take_back(), "its answer was lost", otherwise);
+        }
+        let outcome = call.lose(doubt);
+        self.finish(cx, key, outcome);
+    }
+
+    fn peer_failed(&mut self, cx: &mut Cx<'_>, key: CallKey, call: Call<Sent>, fault: PeerFault) {
+        let live = &self.live[key];
+        let (carried, instance) = (live.carried, live.instance);
+        if let Some(instance) = instance {
+            self.router.note_lost(cx.now, instance, true);
+        }
+        let call = call.take_back();
+        let is_once = call.context().effect.key().is_some();
+        let why = match fault {
+            PeerFault::Unsent => {
+                self.live[key].budget.restore(carried, carried);
+                "no connection could be made"
+            }
+            PeerFault::Lost => "its connection was lost",
+        };
+        // The same key goes to the same home again, which runs it at most once.
+        self.send_again(cx, key, call, why, move |calls, call| match fault {
+            PeerFault::Unsent if !is_once => {
+                Outcome::NotRun(calls.refuse(call, Refusal::NoInstance))
+            }
+            PeerFault::Unsent => Outcome::Unknown(call.doubt(Doubt::HomeUnreachable)),
+            PeerFault::Lost => Outcome::Unknown(call.doubt(Doubt::AnswerLost)),
+        });
+    }
+
+    fn ask_newer_config(
+        &mut self,
+        cx: &mut Cx<'_>,
+        instance: crate::route::InstanceKey,
+        report: GateReport,
+    ) {
+        if cx.keeper.wants_config(cx.now, report.config)
+            && let Some(instance) = self.router.get(instance)
+        {
+            cx.out.push(Output::AskConfig { to: instance.addr, vm: instance.vm.clone() });
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/sending.rs
@@ -0,0 +1,153 @@
+//! How a call goes to another node, and goes again.
+
+use crate::{
+    call::{Arrived, Call, Doubt, Effect, Outcome, Refusal},
+    engine::{CallKey, Calls, EventKind, Output, calls::Cx, live::Stage},
+    keys::IdempotencyKey,
+    route::{Choice, InstanceKey},
+};
+
+impl Calls {
+    /// Chooses an instance for a call and sends it there.
+    pub(crate) fn send_out(
+        &mut self,
+        cx: &mut Cx<'_>,
+        key: CallKey,
+        call: Call<Arrived>,
+        avoid: Option<InstanceKey>,
+    ) {
+        let service = call.service().clone();
+        self.note_called(cx.now, &service, self.live[key].rank);
+        match call.context().effect {
+            Effect::Once(id) if self.options.mechanisms.has_ledger => {
+                self.send_home(cx, key, call, id);
+            }
+            _ => self.send_anywhere(cx, key, call, avoid),
+        }
+    }
+
+    fn send_anywhere(
+        &mut self,
+        cx: &mut Cx<'_>,
+        key: CallKey,
+        call: Call<Arrived>,
+        avoid: Option<InstanceKey>,
+    ) {
+        let rank = self.live[key].rank;
+        let draw = call.context().request.draw();
+        let random = self.random();
+        let choice = self.router.choose(cx.now, call.service(), rank, draw, avoid, random);
+        let choice = match choice {
+            // The instance to avoid is better than none.
+            Choice::Nobody if avoid.is_some() => {
+                self.router.choose(cx.now, call.service(), rank, draw, None, random)
+            }
+            choice => choice,
+        };
+        match choice {
+            Choice::Send(instance) => self.send_to(cx, key, call, instance),
+            Choice::Shed(_) => {
+                let not_run = self.refuse(call, Refusal::Overload);
+                self.finish(cx, key, Outcome::NotRun(not_run));
+            }
+            Choice::Nobody => {
+                let not_run = self.refuse(call, Refusal::NoInstance);
+                self.finish(cx, key, Outcome::NotRun(not_run));
+            }
+        }
+    }
+
+    /// Sends a call to the one node that may run its key.
+    fn send_home(
+        &mut self,
+        cx: &mut Cx<'_>,
+        key: CallKey,
+        call: Call<Arrived>,
+        id: IdempotencyKey,
+    ) {
+        let holder = cx.keeper.holder(call.service(), id, &self.policy);
+        let instance = holder.and_then(|vm| self.router.by_vm(vm)).map(|(key, _)| key);
+        match instance {
+            Some(instance) => self.send_to(cx, key, call, instance),
+            None => {
+                let unknown = call.doubt(Doubt::HomeUnreachable);
+                self.finish(cx, key, Outcome::Unknown(unknown));
+            }
+        }
+    }
+
+    fn send_to(
+        &mut self,
+        cx: &mut Cx<'_>,
+        key: CallKey,
+        call: Call<Arrived>,
+        instance: InstanceKey,
+    ) {
+        let Some(target) = self.router.get(instance) else { return };
+        let (vm, to) = (target.vm.clone(), target.addr);
+        self.router.note_sent(cx.now, instance);
+        let live = &mut self.live[key];
+        live.attempt += 1;
+        live.carried = live.budget.carry();
+        live.instance = Some(instance);
+        cx.out.push(Output::Send {
+            call: key,
+            attempt: live.attempt,
+            vm,
+            to,
+            service: call.service().clone(),
+            context: call.context().clone(),
+            budget: live.carried,
+            payload: call.payload().clone(),
+        });
+        live.stage = Stage::Away(call.send(cx.now));
+    }
+
+    /// Sends a call again if its retries allow, or ends it with `otherwise`.
+    pub(crate) fn send_again(
+        &mut self,
+        cx: &mut Cx<'_>,
+        key: CallKey,
+        call: Call<Arrived>,
+        why: &'static str,
+        otherwise: impl FnOnce(&Self, Call<Arrived>) -> Outcome,
+    ) {
+        let is_bounded = self.options.mechanisms.has_shared_budget;
+        let has_time = call.context().deadline > cx.now;
+        let may_retry = has_time
+            && self.live[key].budget.left() > 0
+            && (!is_bounded || self.ratio.spend())
+            && self.live[key].budget.spend();
+        if !may_retry {
+            let outcome = otherwise(self, call);
+            return self.finish(cx, key, outcome);
+        }
+        let avoid = self.live[key].instance;
+        let left = self.live[key].budget.left();
+        let (request, rank) = (call.context().request, call.context().rank.clone());
+        let service = call.service().clone();
+        self.send_out(cx, key, call, avoid);
+        if let Some(instance) = self.live.get(key).and_then(|live| live.instance)
+            && let Some(to) = self.router.get(instance).map(|i| i.vm.clone())
+        {
+            let kind = EventKind::Retried { service, to, why, left };
+            cx.note(Some(request), Some(rank), kind);
+        }
+    }
+
+    /// Treats every call at `instance` as lost, because its connection is replaced.
+    pub(crate) fn lose_sent_to(&mut self, cx: &mut Cx<'_>, instance: InstanceKey) {
+        let lost: Vec<(CallKey, u32)> = self
+            .live
+            .iter()
+            .filter(|(_, live)| {
+                live.instance == Some(instance) && matches!(live.stage, Stage::Away(_))
+            })
+            .map(|(key, live)| (key, live.attempt))
+            .collect();
+        for (key, attempt) in lost {
+            cx.out.push(Output::CancelSend { call: key, attempt });
+            self.peer_done(cx, key, attempt, Err(crate::engine::PeerFault::Lost));
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/gate/aimd.rs
@@ -0,0 +1,54 @@
+//! Additive increase, multiplicative decrease (Chiu and Jain, 1989).
+
+use std::time::Duration;
+
+use crate::{
+    gate::{LimitLaw, Sample},
+    time::Time,
+};
+
+/// Factor on a sample over the threshold.
+const DECREASE: f64 = 0.9;
+/// Shortest time between two decreases.
+const DECREASE_PAUSE: Duration = Duration::from_millis(100);
+/// Threshold as a multiple of the smallest own time seen.
+const THRESHOLD: f64 = 3.0;
+/// Highest limit.
+const MAX_LIMIT: f64 = 10_000.0;
+
+/// Grows by one for each round of calls, shrinks when a call is slow or fails.
+#[derive(Debug, Clone)]
+pub struct Aimd {
+    limit: f64,
+    smallest: Option<Duration>,
+    decreased_at: Time,
+}
+
+impl Aimd {
+    /// Starts from `initial` calls in progress.
+    pub fn new(initial: usize) -> Self {
+        Self { limit: initial.max(1) as f64, smallest: None, decreased_at: Time::ZERO }
+    }
+
+    fn is_slow(&self, own: Duration) -> bool {
+        self.smallest.is_some_and(|least| own > least.mul_f64(THRESHOLD))
+    }
+}
+
+impl LimitLaw for Aimd {
+    fn limit(&self) -> usize {
+        self.limit as usize
+    }
+
+    fn observe(&mut self, now: Time, sample: Sample) {
+        if sample.is_fault || self.is_slow(sample.own) {
+            if now.since(self.decreased_at) >= DECREASE_PAUSE {
+                self.limit = (self.limit * DECREASE).max(1.0);
+                self.decreased_at = now;
+            }
+        } else if (sample.in_flight + 1) as f64 >= self.limit * 0.9 {
+            self.limit = (self.limit + 1.0 / self.limit).min(MAX_LIMIT);
+        }
+        self.smallest = Some(self.smallest.map_or(sample.own, |least| least.min(sample.own)));
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -0,0 +1,354 @@
+//! The gate itself.
+
+use std::time::Duration;
+
+use crate::{
+    call::{Draw, Refusal, Share},
+    engine::CallKey,
+    gate::{Demand, Law, LimitLaw, Sample, divide, queue::RankQueue},
+    policy::{RankIndex, Ranks},
+    time::Time,
+};
+
+/// Weight of the newest interval in the averages of demand.
+const DEMAND_WEIGHT: f64 = 0.5;
+/// Weight of one call in the average time that it holds its place.
+const HOLD_WEIGHT: f64 = 0.02;
+/// Fraction of the places that the shares aim to fill.
+const TARGET_USE: f64 = 0.98;
+/// Part of a full queue's work that the shares leave for the queue to drain.
+const BACKLOG_WEIGHT: f64 = 0.5;
+/// Largest growth of a rank's share from one interval to the next.
+const MAX_GROWTH: f64 = 2.0;
+/// Smallest fraction from which a share grows.
+const GROWTH_FLOOR: f64 = 1.0 / 32.0;
+/// Range of the correction of the estimated capacity.
+const GAIN: (f64, f64) = (0.5, 3.0);
+/// Change of the correction for each unit of error in use.
+const GAIN_STEP: f64 = 0.25;
+
+/// A call that asks for a place.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Offer {
+    /// The call.
+    pub call: CallKey,
+    /// Its rank.
+    pub rank: RankIndex,
+    /// Its position among the requests of its rank.
+    pub draw: Draw,
+    /// The point after which nobody waits for the answer.
+    pub deadline: Time,
+}
+
+/// What becomes of a call.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum GateStep {
+    /// The call has a place and goes to the upstream.
+    Dispatch(CallKey),
+    /// The call is refused.
+    Refuse(CallKey, Refusal),
+}
+
+/// What a finished call tells the gate.
+#[derive(Debug, Clone, Copy)]
+pub struct Completion {
+    /// Time in the upstream, waits for its outbound calls included.
+    pub hold: Duration,
+    /// Time in the upstream without those waits.
+    pub own: Duration,
+    /// Calls in progress when the call was dispatched.
+    pub in_flight: usize,
+    /// Whether the upstream said that it is overloaded, or did not answer.
+    pub is_fault: bool,
+}
+
+/// Which mechanisms a gate uses; the others serve as baselines.
+#[derive(Debug, Clone)]
+pub struct GateOptions {
+    /// The law that sets the limit; `None` admits everything.
+    pub law: Option<Law>,
+    /// Whether capacity is divided among the ranks ahead of the queue.
+    pub has_shares: bool,
+    /// Whether calls that cannot finish in time are refused.
+    pub has_deadlines: bool,
+    /// Entries in the queue.
+    pub queue_len: usize,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RankState {
+    arrived: u32,
+    in_share: u32,
+    rate: f64,
+    share: Share,
+}
+
+/// Admission to one upstream.
+#[derive(Debug)]
+pub struct Gate {
+    options: GateOptions,
+    worths: Vec<(f64, bool)>,
+    ranks: Vec<RankState>,
+    queue: RankQueue,
+    in_flight: usize,
+    hold: Option<f64>,
+    gain: f64,
+    use_sum: f64,
+    use_at: Time,
+    interval_at: Time,
+    interval_number: u64,
+}
+
+impl Gate {
+    /// A gate with nothing in progress.
+    pub fn new(options: GateOptions, ranks: &Ranks) -> Self {
+        let start = RankState { arrived: 0, in_share: 0, rate: 0.0, share: Share::FULL };
+        Self {
+            queue: RankQueue::new(ranks.len(), options.queue_len),
+            worths: ranks.iter().map(|r| (r.worth, r.is_urgent)).collect(),
+            ranks: vec![start; ranks.len()],
+            options,
+            in_flight: 0,
+            hold: None,
+            gain: 1.0,
+            use_sum: 0.0,
+            use_at: Time::ZERO,
+            interval_at: Time::ZERO,
+            interval_number: 0,
+        }
+    }
+
+    /// Replaces the law of the limit.
+    pub fn set_law(&mut self, law: Law) {
+        self.options.law = Some(law);
+        self.hold = None;
+    }
+
+    /// Takes new ranks and a new length of the queue.
+    ///
+    /// Waiting calls keep their order; calls of ranks that are gone count as the least urgent.
+    pub fn set_ranks(&mut self, ranks: &Ranks, queue_len: usize) {
+        let start = RankState { arrived: 0, in_share: 0, rate: 0.0, share: Share::FULL };
+        self.options.queue_len = queue_len;
+        self.worths = ranks.iter().map(|r| (r.worth, r.is_urgent)).collect();
+        self.ranks = vec![start; ranks.len()];
+        self.queue.set_ranks(ranks.len(), queue_len);
+    }
+
+    /// Calls that may be in progress.
+    pub fn limit(&self) -> usize {
+        self.options.law.as_ref().map_or(usize::MAX, Law::limit)
+    }
+
+    /// Calls in progress.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight
+    }
+
+    /// Calls that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Fraction of `rank` that the gate admits.
+    pub fn share(&self, rank: RankIndex) -> Share {
+        self.ranks[rank.index()].share
+    }
+
+    /// Number of the present interval between two decisions on shares.
+    pub fn interval_number(&self) -> u64 {
+        self.interval_number
+    }
+
+    /// Average time that a call holds its place, in seconds.
+    pub fn hold(&self) -> Option<Duration> {
+        self.hold.map(Duration::from_secs_f64)
+    }
+
+    /// Decides on a call that has arrived.
+    pub fn offer(&mut self, now: Time, offer: Offer, steps: &mut Vec<GateStep>) {
+        let state = &mut self.ranks[offer.rank.index()];
+        state.arrived += 1;
+        if self.options.has_shares {
+            if !state.share.admits(offer.draw) {
+                steps.push(GateStep::Refuse(offer.call, Refusal::Overload));
+                return;
+            }
+            state.in_share += 1;
+        }
+        if self.is_too_late(now, &offer) {
+            steps.push(GateStep::Refuse(offer.call, Refusal::TooLate));
+            return;
+        }
+        if let Some(evicted) = self.queue.push(now, offer) {
+            if evicted.call == offer.call && self.is_urgent(offer.rank) {
+                self.protect_urgent(now, steps);
+            }
+            steps.push(GateStep::Refuse(evicted.call, Refusal::QueueFull));
+        }
+        self.fill_places(now, steps);
+    }
+
+    /// Takes in a finished call and gives its place to the next.
+    pub fn complete(&mut self, now: Time, done: Completion, steps: &mut Vec<GateStep>) {
+        self.note_use(now);
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let hold = done.hold.as_secs_f64();
+        self.hold = Some(self.hold.map_or(hold, |old| old + HOLD_WEIGHT * (hold - old)));
+        if let Some(law) = &mut self.options.law {
+            let sample =
+                Sample { own: done.own, in_flight: done.in_flight, is_fault: done.is_fault };
+            law.observe(now, sample);
+        }
+        self.fill_places(now, steps);
+    }
+
+    /// Gives up the place of a call that ended without telling anything about the upstream.
+    pub fn release(&mut self, now: Time, steps: &mut Vec<GateStep>) {
+        self.note_use(now);
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.fill_places(now, steps);
+    }
+
+    /// Takes a call out of the queue whose caller has left.
+    pub fn withdraw(&mut self, call: CallKey) -> bool {
+        !self.queue.drain_if(|offer| offer.call == call).is_empty()
+    }
+
+    /// Refuses every waiting call.
+    pub fn drain(&mut self, reason: Refusal, steps: &mut Vec<GateStep>) {
+        let all = self.queue.drain_if(|_| true);
+        steps.extend(all.into_iter().map(|offer| GateStep::Refuse(offer.call, reason)));
+    }
+
+    /// Ends an interval: refuses what has become too late, and divides the capacity anew.
+    pub fn end_interval(&mut self, now: Time, steps: &mut Vec<GateStep>) {
+        self.note_use(now);
+        if self.options.has_deadlines {
+            let least = self.least_time();
+            let late = self.queue.drain_if(|offer| offer.deadline < now + least);
+            steps.extend(
+                late.into_iter().map(|offer| GateStep::Refuse(offer.call, Refusal::TooLate)),
+            );
+        }
+        let length = now.since(self.interval_at).as_secs_f64();
+        if self.options.has_shares && length > 0.0 {
+            self.divide_capacity(length);
+            self.evict_outside_share(steps);
+        }
+        for state in &mut self.ranks {
+            state.arrived = 0;
+            state.in_share = 0;
+        }
+        self.use_sum = 0.0;
+        self.interval_at = now;
+        self.interval_number += 1;
+        self.fill_places(now, steps);
+    }
+
+    fn is_urgent(&self, rank: RankIndex) -> bool {
+        self.worths[rank.index()].1
+    }
+
+    /// Time that a call needs from here, as far as the gate knows.
+    fn least_time(&self) -> Duration {
+        self.hold().unwrap_or_default().mul_f64(0.5)
+    }
+
+    fn is_too_late(&self, now: Time, offer: &Offer) -> bool {
+        self.options.has_deadlines && offer.deadline < now + self.least_time()
+    }
+
+    fn note_use(&mut self, now: Time) {
+        self.use_sum += self.in_flight as f64 * now.since(self.use_at).as_secs_f64();
+        self.use_at = now;
+    }
+
+    fn fill_places(&mut self, now: Time, steps: &mut Vec<GateStep>) {
+        while self.in_flight < self.limit() {
+            let Some((offer, _)) = self.queue.pop() else { return };
+            if self.is_too_late(now, &offer) {
+                steps.push(GateStep::Refuse(offer.call, Refusal::TooLate));
+                continue;
+            }
+            self.note_use(now);
+            self.in_flight += 1;
+            steps.push(GateStep::Dispatch(offer.call));
+        }
+    }
+
+    /// Begins a new interval in which nothing less urgent is admitted,
+    /// before an urgent call is refused for want of room.
+    fn protect_urgent(&mut self, now: Time, steps: &mut Vec<GateStep>) {
+        for (state, (_, is_urgent)) in self.ranks.iter_mut().zip(&self.worths) {
+            if !is_urgent {
+                state.share = Share::NONE;
+            }
+        }
+        self.interval_number += 1;
+        self.evict_outside_share(steps);
+        debug_assert!(!self.queue.has_above(RankIndex(0)), "nothing stands above the first rank");
+        self.fill_places(now, steps);
+    }
+
+    fn evict_outside_share(&mut self, steps: &mut Vec<GateStep>) {
+        let ranks = &self.ranks;
+        let over = self.queue.drain_if(|offer| !ranks[offer.rank.index()].share.admits(offer.draw));
+        steps.extend(over.into_iter().map(|o| GateStep::Refuse(o.call, Refusal::Overload)));
+    }
+
+    /// Calls a second that the upstream can take, from the limit and the time that a call holds.
+    fn capacity(&mut self, length: f64) -> Option<f64> {
+        let hold = self.hold.filter(|hold| *hold > 0.0)?;
+        let limit = self.limit() as f64;
+        let used = self.use_sum / length / limit;
+        let backlog = self.queue.len() as f64 / limit;
+        let error = if self.queue.len() == 0 { TARGET_USE - used } else { -backlog.min(1.0) * 0.2 };
+        let is_limited = self.ranks.iter().any(|r| r.share < Share::FULL);
+        if is_limited || error < 0.0 {
+            self.gain = (self.gain * (1.0 + GAIN_STEP * error)).clamp(GAIN.0, GAIN.1);
+        } else {
+            self.gain += (1.0 - self.gain) * GAIN_STEP;
+        }
+        let rate = limit / hold * TARGET_USE * self.gain;
+        Some(rate - BACKLOG_WEIGHT * self.queue.len() as f64 / length)
+    }
+
+    fn divide_capacity(&mut self, length: f64) {
+        for state in &mut self.ranks {
+            state.update_rate(length);
+        }
+        let Some(capacity) = self.capacity(length) else { return };
+        let demands: Vec<Demand> = self
+            .ranks
+            .iter()
+            .zip(&self.worths)
+            .map(|(state, &(worth, is_urgent))| Demand { rate: state.rate, worth, is_urgent })
+            .collect();
+        let shares = divide(capacity, &demands);
+        let is_urgent_cut =
+            shares.iter().zip(&demands).any(|(share, d)| d.is_urgent && *share < Share::FULL);
+        for ((state, share), demand) in self.ranks.iter_mut().zip(shares).zip(&demands) {
+            let is_closed = is_urgent_cut && !demand.is_urgent;
+            state.move_share(if is_closed { Share::NONE } else { share });
+        }
+    }
+}
+
+impl RankState {
+    /// Estimates the rate that would arrive if every gate admitted everything.
+    fn update_rate(&mut self, length: f64) {
+        let fraction = self.share.fraction();
+        let whole = if fraction > GROWTH_FLOOR {
+            f64::from(self.in_share) / fraction
+        } else {
+            f64::from(self.arrived)
+        };
+        self.rate += DEMAND_WEIGHT * (whole / length - self.rate);
+    }
+
+    fn move_share(&mut self, target: Share) {
+        let highest = (self.share.fraction() * MAX_GROWTH).max(GROWTH_FLOOR);
+        self.share = target.min(Share::from_fraction(highest));
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/gate/law.rs
@@ -0,0 +1,61 @@
+//! The interface of a limit on calls in progress.
+
+use std::time::Duration;
+
+use crate::{
+    gate::{Aimd, Fixed, Gradient, Vegas},
+    time::Time,
+};
+
+/// What one finished call tells about the upstream.
+#[derive(Debug, Clone, Copy)]
+pub struct Sample {
+    /// Time in the upstream, less the time in which it waited for its own outbound calls.
+    pub own: Duration,
+    /// Calls in progress when this one was dispatched.
+    pub in_flight: usize,
+    /// Whether the upstream said that it is overloaded, or did not answer.
+    pub is_fault: bool,
+}
+
+/// A rule that sets the number of calls in progress from samples.
+pub trait LimitLaw {
+    /// Calls that may be in progress, at least 1.
+    fn limit(&self) -> usize;
+
+    /// Takes in one finished call.
+    fn observe(&mut self, now: Time, sample: Sample);
+}
+
+/// The published laws that can be chosen, for comparison on the same runs.
+#[derive(Debug, Clone)]
+pub enum Law {
+    /// A constant.
+    Fixed(Fixed),
+    /// Additive increase, multiplicative decrease on a latency threshold.
+    Aimd(Aimd),
+    /// Vegas: keeps the estimated queue between two bounds.
+    Vegas(Vegas),
+    /// Gradient of own time against a baseline that tells queueing from slow work.
+    Gradient(Gradient),
+}
+
+impl LimitLaw for Law {
+    fn limit(&self) -> usize {
+        match self {
+            Law::Fixed(law) => law.limit(),
+            Law::Aimd(law) => law.limit(),
+            Law::Vegas(law) => law.limit(),
+            Law::Gradient(law) => law.limit(),
+        }
+    }
+
+    fn observe(&mut self, now: Time, sample: Sample) {
+        match self {
+            Law::Fixed(law) => law.observe(now, sample),
+            Law::Aimd(law) => law.observe(now, sample),
+            Law::Vegas(law) => law.observe(now, sample),
+            Law::Gradient(law) => law.observe(now, sample),
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/keys/leases.rs
@@ -0,0 +1,188 @@
+//! Leases of slots, as the platform log decides them.
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::{
+    keys::{Epoch, Home},
+    names::VmName,
+    time::WallTime,
+};
+
+/// What a record in the log asks of a lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseChange {
+    /// Take a slot that nobody holds.
+    Claim,
+    /// Go on holding a slot.
+    Renew,
+    /// Give a slot up; no key minted after `accepted` was accepted.
+    Release {
+        /// Latest mint time that the holder may have accepted.
+        accepted: WallTime,
+    },
+}
+
+/// How long a lease lasts and how far mint times may lie ahead, as its record states.
+///
+/// Each record carries its own terms, so that a change of configuration
+/// cannot make two nodes judge the same record differently.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseTerms {
+    /// Length of the lease from the log's timestamp on.
+    pub term: Duration,
+    /// Greatest difference between two clocks that keys may show.
+    pub skew: Duration,
+}
+
+/// Longest term that a record may state.
+const MAX_TERM: Duration = Duration::from_secs(1800);
+/// Greatest skew that a record may state.
+const MAX_SKEW: Duration = Duration::from_secs(60);
+
+impl LeaseTerms {
+    fn bounded(self) -> Self {
+        Self { term: self.term.min(MAX_TERM), skew: self.skew.min(MAX_SKEW) }
+    }
+}
+
+/// The lease of one slot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Lease {
+    /// VM that holds the slot.
+    pub holder: VmName,
+    /// Number that grows with each start of the holder's node.
+    pub incarnation: u64,
+    /// End of the lease, by the clock of the log.
+    pub until: WallTime,
+    /// Mint times that the holder accepts.
+    pub epoch: Epoch,
+}
+
+/// Leases of all slots of one service, folded from the log.
+///
+/// Each record is judged by the log's own timestamp, so every node that reads the same records
+/// comes to the same result. If the oldest records are gone, claims are not believed until
+/// every lease from before them must have been renewed or have run out.
+#[derive(Debug, Clone, Default)]
+pub struct LeaseTable {
+    leases: HashMap<Home, Lease>,
+    trusted_from: WallTime,
+}
+
+impl LeaseTable {
+    /// States that records before `oldest` are gone.
+    pub fn note_gap(&mut self, oldest: WallTime) {
+        self.trusted_from = self.trusted_from.max(oldest + MAX_TERM);
+    }
+
+    /// The lease of `home`, current or past.
+    pub fn get(&self, home: &Home) -> Option<&Lease> {
+        self.leases.get(home)
+    }
+
+    /// Whether nobody holds `home` at the log's time `at`.
+    pub fn is_free(&self, home: &Home, at: WallTime) -> bool {
+        at >= self.trusted_from && self.leases.get(home).is_none_or(|lease| lease.until <= at)
+    }
+
+    /// Homes held by `holder` at the log's time `at`.
+    pub fn held_by<'a>(
+        &'a self,
+        holder: &'a VmName,
+        incarnation: u64,
+        at: WallTime,
+    ) -> impl Iterator<Item = (&'a Home, &'a Lease)> {
+        self.leases.iter().filter(move |(_, lease)| lease.is_held_by(holder, incarnation, at))
+    }
+
+    /// Folds one record that the log stamped `at`. Returns whether it took effect.
+    pub fn apply(
+        &mut self,
+        at: WallTime,
+        home: &Home,
+        holder: &VmName,
+        incarnation: u64,
+        terms: LeaseTerms,
+        change: LeaseChange,
+    ) -> bool {
+        let next = Term { at, holder, incarnation, terms: terms.bounded() };
+        match change {
+            LeaseChange::Claim => self.claim(home, &next),
+            LeaseChange::Renew => self.renew(home, &next),
+            LeaseChange::Release { accepted } => {
+                self.release(at, home, holder, incarnation, accepted)
+            }
+        }
+    }
+
+    fn claim(&mut self, home: &Home, next: &Term<'_>) -> bool {
+        if !self.is_free(home, next.at) {
+            return false;
+        }
+        let floor = match self.leases.get(home) {
+            Some(last) => last.epoch.ceiling,
+            // What a forgotten holder accepted ends at most one skew after its lease.
+            None if self.trusted_from > WallTime::default() => next.at + MAX_SKEW,
+            None => next.at,
+        };
+        self.leases.insert(home.clone(), next.lease(floor));
+        true
+    }
+
+    fn renew(&mut self, home: &Home, next: &Term<'_>) -> bool {
+        let floor = match self.leases.get(home) {
+            Some(lease) if lease.is_held_by(next.holder, next.incarnation, next.at) => {
+                lease.epoch.floor
+            }
+            None if next.at < self.trusted_from => next.at,
+            _ => return false,
+        };
+        self.leases.insert(home.clone(), next.lease(floor));
+        true
+    }
+
+    fn release(
+        &mut self,
+        at: WallTime,
+        home: &Home,
+        holder: &VmName,
+        incarnation: u64,
+        accepted: WallTime,
+    ) -> bool {
+        let Some(lease) = self.leases.get_mut(home) else { return false };
+        if !lease.is_held_by(holder, incarnation, at) {
+            return false;
+        }
+        lease.until = at;
+        lease.epoch.ceiling = accepted.max(lease.epoch.floor);
+        true
+    }
+}
+
+impl Lease {
+    /// Whether `holder` holds the lease at the log's time `at`.
+    pub fn is_held_by(&self, holder: &VmName, incarnation: u64, at: WallTime) -> bool {
+        self.holder == *holder && self.incarnation == incarnation && self.until > at
+    }
+}
+
+/// A lease that a record asks for.
+struct Term<'a> {
+    at: WallTime,
+    holder: &'a VmName,
+    incarnation: u64,
+    terms: LeaseTerms,
+}
+
+impl Term<'_> {
+    fn lease(&self, floor: WallTime) -> Lease {
+        let until = self.at + self.terms.term;
+        let ceiling = (until + self.terms.skew).max(floor);
+        Lease {
+            holder: self.holder.clone(),
+            incarnation: self.incarnation,
+            until,
+            epoch: Epoch { floor, ceiling },
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/route/router.rs
@@ -0,0 +1,253 @@
+//! Choice among the instances of each service.
+
+use std::{collections::HashMap, time::Duration};
+
+use slotmap::SlotMap;
+
+use crate::{
+    call::{Draw, Share},
+    names::{ServiceName, VmName, ZoneName},
+    policy::RankIndex,
+    route::{GateReport, Instance, InstanceKey, Standing},
+    time::Time,
+};
+
+/// Extra cost of an instance in another availability zone.
+const OTHER_ZONE_COST: f64 = 1.25;
+/// Open instances in the own zone from which the others are left out.
+const ENOUGH_IN_ZONE: usize = 3;
+
+/// The result of a choice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Choice {
+    /// Send the call to this instance.
+    Send(InstanceKey),
+    /// No instance admits the call; the largest share seen is given.
+    Shed(Share),
+    /// No instance is known or open.
+    Nobody,
+}
+
+/// All known instances, by service.
+#[derive(Debug)]
+pub struct Router {
+    zone: ZoneName,
+    instances: SlotMap<InstanceKey, Instance>,
+    services: HashMap<ServiceName, Vec<InstanceKey>>,
+    vms: HashMap<VmName, InstanceKey>,
+    uses_shares: bool,
+}
+
+impl Router {
+    /// A router of a node in `zone` that knows no instance.
+    pub fn new(zone: ZoneName) -> Self {
+        Self {
+            zone,
+            instances: SlotMap::with_key(),
+            services: HashMap::new(),
+            vms: HashMap::new(),
+            uses_shares: true,
+        }
+    }
+
+    /// Sets whether reported shares steer the choice.
+    pub fn use_shares(&mut self, uses_shares: bool) {
+        self.uses_shares = uses_shares;
+    }
+
+    /// Adds an instance, or replaces the one on the same VM if its node started again.
+    pub fn upsert(&mut self, service: &ServiceName, instance: Instance) -> InstanceKey {
+        if let Some(&key) = self.vms.get(&instance.vm) {
+            let known = &mut self.instances[key];
+            if instance.incarnation > known.incarnation {
+                let outstanding = known.outstanding;
+                *known = instance;
+                known.outstanding = outstanding;
+            } else if instance.incarnation == known.incarnation
+                && instance.standing == Standing::Draining
+            {
+                known.standing = Standing::Draining;
+            }
+            return key;
+        }
+        let vm = instance.vm.clone();
+        let key = self.instances.insert(instance);
+        self.vms.insert(vm, key);
+        self.services.entry(service.clone()).or_default().push(key);
+        key
+    }
+
+    /// Forgets the instance on `vm` if no call is in progress there.
+    pub fn remove(&mut self, vm: &VmName) {
+        let Some(&key) = self.vms.get(vm) else { return };
+        if self.instances[key].outstanding > 0 {
+            self.instances[key].standing = Standing::Draining;
+            return;
+        }
+        self.vms.remove(vm);
+        self.instances.remove(key);
+        for keys in self.services.values_mut() {
+            keys.retain(|&k| k != key);
+        }
+    }
+
+    /// The instance at `key`.
+    pub fn get(&self, key: InstanceKey) -> Option<&Instance> {
+        self.instances.get(key)
+    }
+
+    /// The instance on `vm`.
+    pub fn by_vm(&self, vm: &VmName) -> Option<(InstanceKey, &Instance)> {
+        let key = *self.vms.get(vm)?;
+        Some((key, &self.instances[key]))
+    }
+
+    /// All instances of `service`.
+    pub fn of_service(
+        &self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = (InstanceKey, &Instance)> {
+        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter().map(|&key| (key, &self.instances[key]))
+    }
+
+    /// All instances with their services.
+    pub fn iter(&self) -> impl Iterator<Item = (&ServiceName, &Instance)> {
+        self.services.iter().flat_map(|(service, keys)| {
+            let instances = &self.instances;
+            keys.iter().map(move |&k| (service, &instances[k]))
+        })
+    }
+
+    /// Number of known instances.
+    pub fn len(&self) -> usize {
+        self.instances.len()
+    }
+
+    /// Whether no instance is known.
+    pub fn is_empty(&self) -> bool {
+        self.instances.is_empty()
+    }
+
+    /// Whether any instance of `service` is known.
+    pub fn knows(&self, service: &ServiceName) -> bool {
+        self.services.get(service).is_some_and(|keys| !keys.is_empty())
+    }
+
+    /// Largest share of `rank` that an open instance of `service` admits.
+    pub fn share(&self, now: Time, service: &ServiceName, rank: RankIndex) -> Share {
+        self.of_service(service)
+            .filter(|(_, i)| i.is_open(now))
+            .map(|(_, i)| i.share(now, rank))
+            .max()
+            .unwrap_or(Share::FULL)
+    }
+
+    /// Chooses the cheaper of two random open instances that admit `draw`, other than `avoid`.
+    ///
+    /// `random` supplies the two picks (power of two choices, Mitzenmacher, 2001).
+    pub fn choose(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        rank: RankIndex,
+        draw: Draw,
+        avoid: Option<InstanceKey>,
+        random: u64,
+    ) -> Choice {
+        let open: Vec<(InstanceKey, &Instance)> = self
+            .of_service(service)
+            .filter(|(key, i)| i.is_open(now) && Some(*key) != avoid)
+            .collect();
+        if open.is_empty() {
+            return Choice::Nobody;
+        }
+        let mut admitting: Vec<_> = open
+            .iter()
+            .filter(|(_, i)| !self.uses_shares || i.share(now, rank).admits(draw))
+            .copied()
+            .collect();
+        if admitting.is_empty() {
+            let best = open.iter().map(|(_, i)| i.share(now, rank)).max();
+            return Choice::Shed(best.unwrap_or(Share::NONE));
+        }
+        if admitting.iter().filter(|(_, i)| i.zone == self.zone).count() >= ENOUGH_IN_ZONE {
+            admitting.retain(|(_, i)| i.zone == self.zone);
+        }
+        Choice::Send(self.cheaper_of_two(&admitting, random))
+    }
+
+    fn cheaper_of_two(&self, from: &[(InstanceKey, &Instance)], random: u64) -> InstanceKey {
+        let len = from.len() as u64;
+        let first = (random & 0xffff_ffff) % len;
+        let second = match len {
+            1 => first,
+            _ => (first + 1 + (random >> 32) % (len - 1)) % len,
+        };
+        let (a, b) = (from[first as usize], from[second as usize]);
+        let cost =
+            |i: &Instance| i.cost() * if i.zone == self.zone { 1.0 } else { OTHER_ZONE_COST };
+        if cost(b.1) < cost(a.1) { b.0 } else { a.0 }
+    }
+
+    /// Notes a call that was sent to an instance.
+    pub fn note_sent(&mut self, now: Time, key: InstanceKey) {
+        if let Some(instance) = self.instances.get_mut(key) {
+            instance.outstanding += 1;
+            instance.silence.sent(now);
+        }
+    }
+
+    /// Notes an answer of an instance, whatever it says.
+    pub fn note_answer(
+        &mut self,
+        now: Time,
+        key: InstanceKey,
+        rank: RankIndex,
+        latency: Duration,
+        report: GateReport,
+    ) {
+        if let Some(instance) = self.instances.get_mut(key) {
+            instance.outstanding = instance.outstanding.saturating_sub(1);
+            instance.silence.heard(now, latency);
+            instance.note_report(now, rank, report);
+        }
+    }
+
+    /// Notes a call that ended without an answer; `is_failure` counts it against the instance.
+    pub fn note_lost(&mut self, now: Time, key: InstanceKey, is_failure: bool) {
+        if let Some(instance) = self.instances.get_mut(key) {
+            instance.outstanding = instance.outstanding.saturating_sub(1);
+            instance.silence.abandoned();
+            if is_failure {
+                instance.note_failure(now);
+            }
+        }
+    }
+
+    /// Notes that an instance is leaving.
+    pub fn note_draining(&mut self, key: InstanceKey) {
+        if let Some(instance) = self.instances.get_mut(key) {
+            instance.standing = Standing::Draining;
+        }
+    }
+
+    /// Returns the instances whose connection has gone silent, and starts their watch again.
+    pub fn take_silent(&mut self, now: Time) -> Vec<InstanceKey> {
+        let mut silent = Vec::new();
+        for (key, instance) in &mut self.instances {
+            if instance.silence.is_silent(now) {
+                instance.silence.reset(now);
+                silent.push(key);
+            }
+        }
+        silent
+    }
+
+    /// Makes room for the shares of `ranks` ranks.
+    pub fn set_ranks(&mut self, now: Time, ranks: usize) {
+        for instance in self.instances.values_mut() {
+            instance.set_ranks(now, ranks);
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/poplartrail-wire/src/convert/config.rs
@@ -0,0 +1,93 @@
+//! Records of the configuration stream.
+
+use std::sync::Arc;
+
+use poplartrail_core::{
+    config::{Change, ChangeId, Document, DocumentId, Snapshot, Step},
+    names::{OperatorName, SiteName},
+};
+use prost::Message;
+
+use crate::{WireError, convert, generated as wire};
+
+/// Writes a record.
+pub fn encode_step(step: &Step) -> Vec<u8> {
+    let body = match step {
+        Step::Change(change) => wire::config_step::Body::Change(change_to(change)),
+        Step::Snapshot(snapshot) => wire::config_step::Body::Snapshot(snapshot_to(snapshot)),
+    };
+    wire::ConfigStep { body: Some(body) }.encode_to_vec()
+}
+
+/// Reads a record.
+pub fn decode_step(bytes: &[u8]) -> Result<Step, WireError> {
+    let message: wire::ConfigStep = convert::decode(bytes)?;
+    Ok(match message.body.ok_or(WireError::Missing("a body"))? {
+        wire::config_step::Body::Change(change) => Step::Change(change_from(change)?),
+        wire::config_step::Body::Snapshot(snapshot) => Step::Snapshot(snapshot_from(snapshot)?),
+    })
+}
+
+fn change_to(change: &Change) -> wire::Change {
+    wire::Change {
+        id: change.id.0.to_be_bytes().to_vec().into(),
+        document: Some(id_to(&change.document)),
+        made_against: change.made_against,
+        author: change.author.to_string(),
+        text: change.text.to_string(),
+    }
+}
+
+fn change_from(change: wire::Change) -> Result<Change, WireError> {
+    Ok(Change {
+        id: ChangeId(convert::id_from(&change.id, "change")?),
+        document: id_from(change.document.ok_or(WireError::Missing("a document"))?)?,
+        made_against: change.made_against,
+        author: OperatorName::new(&change.author)?,
+        text: Arc::from(change.text),
+    })
+}
+
+pub(crate) fn snapshot_to(snapshot: &Snapshot) -> wire::ConfigSnapshot {
+    let documents = snapshot.documents.iter().map(|(id, document)| wire::Document {
+        id: Some(id_to(id)),
+        version: document.version,
+        change: document.change.0.to_be_bytes().to_vec().into(),
+        author: document.author.to_string(),
+        text: document.text.to_string(),
+    });
+    wire::ConfigSnapshot {
+        next_offset: snapshot.next_offset,
+        version: snapshot.version,
+        documents: documents.collect(),
+    }
+}
+
+pub(crate) fn snapshot_from(snapshot: wire::ConfigSnapshot) -> Result<Snapshot, WireError> {
+    let documents = snapshot.documents.into_iter().map(|document| {
+        let id = id_from(document.id.ok_or(WireError::Missing("a document"))?)?;
+        let change = ChangeId(convert::id_from(&document.change, "change")?);
+        let author = OperatorName::new(&document.author)?;
+        let text = Arc::from(document.text);
+        Ok((id, Document { version: document.version, change, author, text }))
+    });
+    Ok(Snapshot {
+        next_offset: snapshot.next_offset,
+        version: snapshot.version,
+        documents: documents.collect::<Result<_, WireError>>()?,
+    })
+}
+
+fn id_to(id: &DocumentId) -> wire::DocumentId {
+    match id {
+        DocumentId::Base => wire::DocumentId { site: String::new() },
+        DocumentId::Overlay(site) => wire::DocumentId { site: site.to_string() },
+    }
+}
+
+fn id_from(id: wire::DocumentId) -> Result<DocumentId, WireError> {
+    if id.site.is_empty() {
+        return Ok(DocumentId::Base);
+    }
+    Ok(DocumentId::Overlay(SiteName::new(&id.site)?))
+}
--- /dev/null
+++ b/crates/poplartrail-wire/src/convert/member.rs
@@ -0,0 +1,91 @@
+//! Records of the services' streams.
+
+use std::time::Duration;
+
+use poplartrail_core::{
+    keys::{LeaseChange, LeaseTerms, Slot},
+    member::{Member, MemberRecord, MemberState, SlotChange},
+    names::{ServiceName, VmName, ZoneName},
+    time::{Time, WallTime},
+};
+use prost::Message;
+
+use crate::{WireError, convert, generated as wire};
+
+/// Writes a record.
+pub fn encode_member_record(record: &MemberRecord) -> Vec<u8> {
+    member_record_to(record).encode_to_vec()
+}
+
+/// Reads a record.
+pub fn decode_member_record(bytes: &[u8]) -> Result<MemberRecord, WireError> {
+    member_record_from(convert::decode(bytes)?)
+}
+
+pub(crate) fn member_record_to(record: &MemberRecord) -> wire::MemberRecord {
+    let member = &record.member;
+    wire::MemberRecord {
+        member: Some(wire::Member {
+            vm: member.vm.to_string(),
+            incarnation: member.incarnation,
+            service: member.service.to_string(),
+            zone: member.zone.to_string(),
+            addr: member.addr.to_string(),
+            report: member.report.to_string(),
+        }),
+        draining: record.state == MemberState::Draining,
+        term_ms: record.terms.term.as_millis() as u32,
+        skew_ms: record.terms.skew.as_millis() as u32,
+        sent_ns: record.sent.as_nanos(),
+        slots: record.slots.iter().map(slot_to).collect(),
+    }
+}
+
+pub(crate) fn member_record_from(record: wire::MemberRecord) -> Result<MemberRecord, WireError> {
+    let member = record.member.ok_or(WireError::Missing("a member"))?;
+    Ok(MemberRecord {
+        member: Member {
+            vm: VmName::new(&member.vm)?,
+            incarnation: member.incarnation,
+            service: ServiceName::new(&member.service)?,
+            zone: ZoneName::new(&member.zone)?,
+            addr: member.addr.parse().map_err(|_| WireError::BadValue("address"))?,
+            report: member.report.parse().map_err(|_| WireError::BadValue("address"))?,
+        },
+        state: if record.draining { MemberState::Draining } else { MemberState::Serving },
+        terms: LeaseTerms {
+            term: Duration::from_millis(u64::from(record.term_ms)),
+            skew: Duration::from_millis(u64::from(record.skew_ms)),
+        },
+        sent: Time::from_nanos(record.sent_ns),
+        slots: record.slots.into_iter().map(slot_from).collect::<Result<_, _>>()?,
+    })
+}
+
+fn slot_to(change: &SlotChange) -> wire::SlotChange {
+    use wire::slot_change::Kind;
+    let (kind, accepted) = match change.change {
+        LeaseChange::Claim => (Kind::Claim, WallTime::default()),
+        LeaseChange::Renew => (Kind::Renew, WallTime::default()),
+        LeaseChange::Release { accepted } => (Kind::Release, accepted),
+    };
+    wire::SlotChange {
+        slot: u32::from(change.slot.0),
+        kind: kind.into(),
+        accepted_ms: accepted.as_millis(),
+    }
+}
+
+fn slot_from(change: wire::SlotChange) -> Result<SlotChange, WireError> {
+    use wire::slot_change::Kind;
+    let slot = u16::try_from(change.slot).map_err(|_| WireError::BadValue("slot"))?;
+    let kind = Kind::try_from(change.kind).map_err(|_| WireError::BadValue("lease change"))?;
+    let change = match kind {
+        Kind::Claim => LeaseChange::Claim,
+        Kind::Renew => LeaseChange::Renew,
+        Kind::Release => {
+            LeaseChange::Release { accepted: WallTime::from_millis(change.accepted_ms) }
+        }
+    };
+    Ok(SlotChange { slot: Slot(slot), change })
+}
