--- a/crates/poplartrail-bench/src/lib.rs
+++ b/crates/poplartrail-bench/src/lib.rs
@@ -1,1 +1,1 @@
-//! placeholder
+//! Virtual-time measurements of the decisions.
--- /dev/null
+++ b/crates/poplartrail-cli/src/commands/check.rs
@@ -0,0 +1,64 @@
+//! `check`: a base file and its overlays, offline.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    path::{Path, PathBuf},
+};
+
+use poplartrail_core::{config::DocumentId, names::SiteName};
+use poplartrail_settings::document::{SiteDocuments, Warning};
+use serde_json::json;
+
+use crate::Exit;
+
+pub(crate) fn run(json: bool, base: &Path, overlays: &[PathBuf]) -> Exit {
+    let result = check(base, overlays);
+    if json {
+        println!("{}", as_json(&result));
+    } else {
+        print_text(&result);
+    }
+    match result {
+        Ok(warnings) if warnings.is_empty() => Exit::Done,
+        _ => Exit::Refused,
+    }
+}
+
+fn check(base: &Path, overlays: &[PathBuf]) -> Result<Vec<Warning>, String> {
+    let mut texts = vec![(DocumentId::Base, read(base)?)];
+    for path in overlays {
+        texts.push((DocumentId::Overlay(site_of(path)?), read(path)?));
+    }
+    let texts: BTreeMap<DocumentId, &str> =
+        texts.iter().map(|(id, text)| (id.clone(), text.as_str())).collect();
+    SiteDocuments::check_all(&texts).map_err(|err| err.to_string())
+}
+
+pub(crate) fn read(path: &Path) -> Result<String, String> {
+    fs::read_to_string(path)
+        .map_err(|err| format!("{}: cannot be read ({err}): check the path", path.display()))
+}
+
+fn site_of(path: &Path) -> Result<SiteName, String> {
+    let stem = path.file_stem().and_then(|stem| stem.to_str()).unwrap_or("");
+    SiteName::new(stem).map_err(|err| format!("{}: {err}", path.display()))
+}
+
+fn as_json(result: &Result<Vec<Warning>, String>) -> serde_json::Value {
+    match result {
+        Ok(warnings) => {
+            let warnings: Vec<String> = warnings.iter().map(ToString::to_string).collect();
+            json!({"error": null, "warnings": warnings})
+        }
+        Err(err) => json!({"error": err, "warnings": []}),
+    }
+}
+
+fn print_text(result: &Result<Vec<Warning>, String>) {
+    match result {
+        Ok(warnings) if warnings.is_empty() => println!("in order"),
+        Ok(warnings) => warnings.iter().for_each(|warning| println!("{warning}")),
+        Err(err) => println!("{err}"),
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-cli/src/commands/status.rs
@@ -0,0 +1,59 @@
+//! `status`: each node's version in force, limits and ranks.
+
+use serde_json::{Value, json};
+
+use crate::{
+    Exit, Options,
+    commands::out_of_reach,
+    fleet::{FleetReader, pages},
+};
+
+pub(crate) async fn run(options: &Options) -> Exit {
+    let members = match FleetReader::new(options.log) {
+        Ok(mut reader) => reader.members().await,
+        Err(err) => Err(err),
+    };
+    let members = match members {
+        Ok(members) => members,
+        Err(err) => return out_of_reach(&err),
+    };
+    let mut has_all = true;
+    for (member, page) in pages(&members, "/status").await {
+        let status = page.and_then(|page| serde_json::from_str::<Value>(&page).ok());
+        has_all &= status.is_some();
+        let line = match (&status, options.json) {
+            (Some(status), true) => status.to_string(),
+            (None, true) => json!({"vm": member.vm.as_str(), "phase": "out of reach"}).to_string(),
+            (Some(status), false) => line(status),
+            (None, false) => format!("{} out of reach", member.vm),
+        };
+        println!("{line}");
+    }
+    if has_all { Exit::Done } else { Exit::Unknown }
+}
+
+fn line(status: &Value) -> String {
+    let text = |name: &str| status[name].as_str().unwrap_or("?").to_owned();
+    let shares: Vec<String> = status["ranks"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .map(|rank| {
+            let name = rank["rank"].as_str().unwrap_or("?");
+            format!("{name} {:.3}", rank["path_share"].as_f64().unwrap_or(0.0))
+        })
+        .collect();
+    format!(
+        "{} {} in {}: {}, configuration {}, limit {}, in progress {}, waiting {}, slots {}, {}",
+        text("vm"),
+        text("service"),
+        text("zone"),
+        text("phase"),
+        status["config"],
+        status["limit"],
+        status["in_flight"],
+        status["queued"],
+        status["slots"],
+        shares.join(", "),
+    )
+}
--- /dev/null
+++ b/crates/poplartrail-cli/src/commands/timeline.rs
@@ -0,0 +1,71 @@
+//! `timeline`: the events of all nodes in one order.
+
+use serde_json::Value;
+
+use crate::{
+    Exit,
+    commands::out_of_reach,
+    fleet::{FleetReader, pages},
+    options::Timeline,
+};
+
+pub(crate) async fn run(options: &Timeline) -> Exit {
+    let members = match FleetReader::new(options.fleet.log) {
+        Ok(mut reader) => reader.members().await,
+        Err(err) => Err(err),
+    };
+    let members = match members {
+        Ok(members) => members,
+        Err(err) => return out_of_reach(&err),
+    };
+    let mut events = Vec::new();
+    let mut has_all = true;
+    for (member, page) in pages(&members, "/events").await {
+        match page {
+            Some(page) => events.extend(page.lines().filter_map(parse)),
+            None => {
+                has_all = false;
+                eprintln!("poplartrail: {} is out of reach, its events are missing", member.vm);
+            }
+        }
+    }
+    events.retain(|event| passes(options, event));
+    events.sort_by_key(order);
+    for event in &events {
+        println!("{}", if options.fleet.json { event.to_string() } else { line(event) });
+    }
+    if has_all { Exit::Done } else { Exit::Unknown }
+}
+
+fn parse(line: &str) -> Option<Value> {
+    serde_json::from_str(line).ok()
+}
+
+fn passes(options: &Timeline, event: &Value) -> bool {
+    let is = |wanted: &Option<String>, field: &str| {
+        wanted.as_deref().is_none_or(|wanted| event[field].as_str() == Some(wanted))
+    };
+    is(&options.request, "request")
+        && is(&options.node, "vm")
+        && is(&options.rank, "rank")
+        && is(&options.kind, "kind")
+}
+
+/// By time; events of one node keep their own order whatever its clock does.
+fn order(event: &Value) -> (u64, String, u64) {
+    let number = |field: &str| event[field].as_u64().unwrap_or(0);
+    (number("at_ms"), event["vm"].as_str().unwrap_or("").to_owned(), number("number"))
+}
+
+fn line(event: &Value) -> String {
+    let text = |field: &str| event[field].as_str().unwrap_or("-").to_owned();
+    format!(
+        "{} {} {} rank {} request {}: {}",
+        event["at_ms"],
+        text("vm"),
+        text("kind"),
+        text("rank"),
+        text("request"),
+        text("text"),
+    )
+}
--- /dev/null
+++ b/crates/poplartrail-cli/src/fleet.rs
@@ -0,0 +1,132 @@
+//! What the platform log and the nodes say.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use poplartrail_core::{
+    config::History,
+    engine::{LogBatch, StreamId},
+    member::{Member, Roster},
+    names::{ServiceName, SiteName},
+    time::WallTime,
+};
+use poplartrail_http::{LogClient, LogError, WholeClient, client, get};
+use poplartrail_settings::document::{BaseDocument, SiteDocuments};
+
+/// Time after which a request to the log counts as unanswered.
+const LOG_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a node counts as out of reach.
+const NODE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest page of a node.
+const MAX_PAGE: usize = 64 << 20;
+
+/// A reader of the platform log that folds what it reads.
+pub(crate) struct FleetReader {
+    pub(crate) log: LogClient,
+    pub(crate) history: History,
+    pub(crate) log_now: WallTime,
+    check: SiteDocuments,
+}
+
+impl FleetReader {
+    pub(crate) fn new(addr: SocketAddr) -> Result<Self, LogError> {
+        // The check looks at all sites alike; the name only selects whose policy is asked for.
+        let site = SiteName::new("all").expect("the constant is a valid name");
+        Ok(Self {
+            log: LogClient::new(addr, LOG_TIMEOUT)?,
+            history: History::new(),
+            log_now: WallTime::default(),
+            check: SiteDocuments::new(site),
+        })
+    }
+
+    /// Reads the configuration stream to its end.
+    pub(crate) async fn read_config(&mut self) -> Result<(), LogError> {
+        loop {
+            let cursors = [(StreamId::Config, self.history.next_offset())];
+            let pages = self.log.read(&cursors).await?;
+            self.log_now = pages.now;
+            let mut has_more = false;
+            for batch in pages.batches {
+                let LogBatch::Config { oldest, records } = batch else { continue };
+                self.history.note_oldest(oldest);
+                for record in &records {
+                    self.history.apply(record.offset, record.at, &record.body, &self.check);
+                    has_more = true;
+                }
+            }
+            if !has_more {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Services of the base file in force.
+    fn services(&self) -> Vec<ServiceName> {
+        let base = self.history.documents().get(&poplartrail_core::config::DocumentId::Base);
+        let base = base.and_then(|document| BaseDocument::parse(&document.text).ok());
+        let parts = base.map(|base| base.service).unwrap_or_default();
+        parts.iter().filter_map(|part| ServiceName::new(&part.name).ok()).collect()
+    }
+
+    /// All members that the log announces and that have not gone.
+    pub(crate) async fn members(&mut self) -> Result<Vec<Member>, LogError> {
+        self.read_config().await?;
+        let mut rosters: BTreeMap<ServiceName, Roster> =
+            self.services().into_iter().map(|name| (name, Roster::default())).collect();
+        loop {
+            let cursors: Vec<(StreamId, u64)> = rosters
+                .iter()
+                .map(|(name, roster)| (StreamId::Members(name.clone()), roster.next_offset()))
+                .collect();
+            if cursors.is_empty() {
+                return Ok(Vec::new());
+            }
+            let pages = self.log.read(&cursors).await?;
+            let mut has_more = false;
+            for batch in pages.batches {
+                let LogBatch::Members { service, oldest, records } = batch else { continue };
+                let Some(roster) = rosters.get_mut(&service) else { continue };
+                roster.note_oldest(oldest.0, oldest.1);
+                for record in &records {
+                    has_more |= roster.apply(record.offset, record.at, &record.body);
+                }
+                roster.note_log_time(pages.now);
+            }
+            if !has_more {
+                break;
+            }
+        }
+        let mut members: Vec<Member> = Vec::new();
+        for roster in rosters.values_mut() {
+            drop(roster.take_expired());
+            members.extend(roster.iter().map(|entry| entry.member.clone()));
+        }
+        members.sort_by(|a, b| a.vm.cmp(&b.vm));
+        Ok(members)
+    }
+}
+
+/// Reads the page `path` of each member; `None` for one that is out of reach.
+pub(crate) async fn pages(members: &[Member], path: &str) -> Vec<(Member, Option<String>)> {
+    let Ok(client) = client(1) else { return Vec::new() };
+    let client = std::sync::Arc::new(client);
+    let mut tasks = Vec::new();
+    for member in members {
+        let (client, member, path) = (client.clone(), member.clone(), path.to_owned());
+        tasks.push(tokio::spawn(async move {
+            let page = page(&client, &member, &path).await;
+            (member, page)
+        }));
+    }
+    let mut pages = Vec::new();
+    for task in tasks {
+        pages.extend(task.await.ok());
+    }
+    pages
+}
+
+async fn page(client: &WholeClient, member: &Member, path: &str) -> Option<String> {
+    let page = get(client, member.report, path, MAX_PAGE);
+    let page = tokio::time::timeout(NODE_TIMEOUT, page).await.ok().flatten()?;
+    String::from_utf8(page.to_vec()).ok()
+}
--- a/crates/poplartrail-core/src/call/life.rs
+++ b/crates/poplartrail-core/src/call/life.rs
@@ -159,10 +159,10 @@
     /// Takes an idempotent call back after its answer was lost, to run it again.
     ///
     /// Returns the lost call unchanged if a second run would do harm.
-    pub fn take_back_idempotent(self) -> Result<Call<Arrived>, Call<Dispatched>> {
+    pub fn take_back_idempotent(self) -> Result<Call<Arrived>, Box<Call<Dispatched>>> {
         match self.context.effect {
             Effect::Idempotent => Ok(self.with_state(Arrived(()))),
-            Effect::Once(_) => Err(self),
+            Effect::Once(_) => Err(Box::new(self)),
         }
     }
 
--- a/crates/poplartrail-core/src/engine/ending.rs
+++ b/crates/poplartrail-core/src/engine/ending.rs
@@ -23,13 +23,13 @@
         let Some(live) = self.live.remove(key) else { return };
         self.settle(cx.now, &live);
         self.note_outcome(cx, &live, &outcome);
+        for follower in self.followers.remove(&key).unwrap_or_default() {
+            self.finish_follower(cx, follower, &outcome);
+        }
         if let Some(ticket) = live.ticket {
             self.tickets.remove(&ticket);
             let report = self.report(cx, live.rank, live.budget);
-            cx.out.push(Output::Reply { ticket, outcome: outcome.clone(), report });
-        }
-        for follower in self.followers.remove(&key).unwrap_or_default() {
-            self.finish_follower(cx, follower, &outcome);
+            cx.out.push(Output::Reply { ticket, outcome, report });
         }
     }
 
--- /dev/null
+++ b/crates/poplartrail-node/src/adapters/ingress/serve.rs
@@ -0,0 +1,191 @@
+//! The two HTTP servers of the ingress thread.
+
+use std::{convert::Infallible, net::SocketAddr};
+
+use http::Response;
+use poplartrail_core::{
+    call::Outcome,
+    engine::{Input, Port, Ticket},
+    names::ServiceName,
+};
+use poplartrail_http::read_body;
+use tokio::sync::watch;
+use volo::{Service, net::Address};
+use volo_http::{body::Body, context::ServerContext, request::Request, server::Server};
+
+use crate::{
+    adapters::{
+        block_on,
+        ingress::{
+            read::{self, Head, Side},
+            reply,
+        },
+        pending::Pending,
+    },
+    ports::{Clock, DecideMessage, IngressMessage, Ring, RingReader, ring},
+};
+
+/// Path at which a caller gets a key whose home is this node.
+const KEY_PATH: &str = "/.poplartrail/key";
+/// Header fields of one request.
+const MAX_FIELDS: usize = 128;
+
+/// Parameters of the ingress thread.
+#[derive(Debug, Clone)]
+pub struct IngressOptions<C> {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for the own upstream's outbound calls.
+    pub upstream: SocketAddr,
+    /// Service of the own upstream.
+    pub service: ServiceName,
+    /// Largest body of a request.
+    pub max_body_bytes: usize,
+    /// Largest header of a request.
+    pub max_header_bytes: usize,
+    /// Requests that may wait for a reply.
+    pub max_pending: usize,
+    /// The time.
+    pub clock: C,
+}
+
+/// Serves until a signal asks for a stop and nothing is in progress.
+pub fn run<C: Clock + Sync>(
+    options: IngressOptions<C>,
+    replies: RingReader<IngressMessage>,
+    decide: &Ring<DecideMessage>,
+    stopped: &watch::Receiver<bool>,
+) {
+    block_on(async move {
+        let pending = Pending::new(Port::Ingress, options.max_pending);
+        tokio::spawn(hand_out(replies, pending.clone()));
+        let callers = Front {
+            side: Side::Callers(options.service.clone()),
+            options: options.clone(),
+            decide: decide.clone(),
+            pending: pending.clone(),
+        };
+        let upstream = Front { side: Side::Upstream, ..callers.clone() };
+        tokio::join!(
+            serve(options.callers, callers, stopped.clone()),
+            serve(options.upstream, upstream, stopped.clone()),
+        );
+    });
+}
+
+async fn hand_out(replies: RingReader<IngressMessage>, pending: Pending<Outcome>) {
+    while let Some(IngressMessage { ticket, outcome }) = replies.next().await {
+        pending.fulfil(ticket, outcome);
+    }
+}
+
+async fn serve<C: Clock + Sync>(
+    at: SocketAddr,
+    front: Front<C>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let decide = front.decide.clone();
+    let mut server = Server::new(front).http1_only();
+    server.http1_config().set_max_headers(MAX_FIELDS);
+    // The server stops accepting once this hook has ended, so it lasts until nothing is in
+    // progress: until then callers are told that the node is leaving.
+    let server = server.register_shutdown_hook(move || {
+        Box::pin(async move {
+            decide.push(DecideMessage::Input(Input::Leave)).await;
+            let _is_closed = stopped.wait_for(|is_stopped| *is_stopped).await.is_err();
+        })
+    });
+    if let Err(err) = server.run(Address::from(at)).await {
+        spdlog::critical!("cannot serve on {at}: {err}; choose a free address");
+        std::process::exit(1);
+    }
+}
+
+/// Handles the requests of one server.
+#[derive(Clone)]
+struct Front<C> {
+    side: Side,
+    options: IngressOptions<C>,
+    decide: Ring<DecideMessage>,
+    pending: Pending<Outcome>,
+}
+
+impl<C: Clock + Sync> Service<ServerContext, Request> for Front<C> {
+    type Response = Response<Body>;
+    type Error = Infallible;
+
+    async fn call(
+        &self,
+        _cx: &mut ServerContext,
+        req: Request,
+    ) -> Result<Self::Response, Self::Error> {
+        let (parts, body) = req.into_parts();
+        if matches!(self.side, Side::Callers(_)) && parts.uri.path() == KEY_PATH {
+            return Ok(self.mint_key().await);
+        }
+        let head = match read::read_head(&parts, self.options.max_header_bytes) {
+            Ok(head) => head,
+            Err(err) => return Ok(reply::bad_request(&err)),
+        };
+        let body = match read_body(body, self.options.max_body_bytes).await {
+            Ok(body) => body,
+            Err(err) => return Ok(reply::bad_body(&err)),
+        };
+        Ok(self.decide_on(&parts, head, body).await)
+    }
+}
+
+impl<C: Clock + Sync> Front<C> {
+    async fn decide_on(
+        &self,
+        parts: &http::request::Parts,
+        head: Head,
+        body: bytes::Bytes,
+    ) -> Response<Body> {
+        let has_key = !matches!(head.effect(), poplartrail_core::call::Effect::Idempotent);
+        let Some((ticket, wait)) = self.pending.wait() else { return reply::no_room(has_key) };
+        let guard = LeaveGuard { front: self, ticket };
+        let now = self.options.clock.now();
+        let arrival = match read::arrival(parts, head, body, &self.side, ticket, now) {
+            Ok(arrival) => arrival,
+            Err(err) => {
+                self.pending.forget(ticket);
+                return reply::bad_request(&err);
+            }
+        };
+        let message = DecideMessage::Input(Input::Arrive(arrival));
+        if self.decide.offer(message).is_err() {
+            self.pending.forget(ticket);
+            return reply::no_room(has_key);
+        }
+        let outcome = wait.await;
+        drop(guard);
+        match outcome {
+            Ok(outcome) => reply::response(outcome),
+            Err(_) => reply::no_room(true),
+        }
+    }
+
+    async fn mint_key(&self) -> Response<Body> {
+        let (tx, rx) = ring(1);
+        let is_asked = self.decide.push(DecideMessage::MintKey(tx)).await;
+        let key = if is_asked { rx.next().await.flatten() } else { None };
+        reply::key(key.map(|key| key.to_string()))
+    }
+}
+
+/// Tells the decide thread when the caller leaves before its reply.
+struct LeaveGuard<'a, C> {
+    front: &'a Front<C>,
+    ticket: Ticket,
+}
+
+impl<C> Drop for LeaveGuard<'_, C> {
+    fn drop(&mut self) {
+        if self.front.pending.forget(self.ticket) {
+            let left = DecideMessage::Input(Input::CallerLeft(self.ticket));
+            // If the ring is full, the call's deadline ends it.
+            drop(self.front.decide.offer(left));
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-node/src/adapters/peers/mod.rs
@@ -0,0 +1,10 @@
+//! The peers duty: calls and news between nodes, over QUIC with mutual TLS.
+
+mod dial;
+mod receive;
+mod run;
+mod send;
+mod tls;
+
+pub use run::{PeersOptions, run};
+pub use tls::{PeersTls, TlsError};
--- /dev/null
+++ b/crates/poplartrail-node/src/adapters/peers/run.rs
@@ -0,0 +1,182 @@
+//! The loop of the peers thread.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use poplartrail_core::{
+    engine::{CallKey, Input, Port},
+    member::MemberRecord,
+    names::VmName,
+};
+use poplartrail_wire::call;
+use quinn::{ClientConfig, Endpoint, IdleTimeout, ServerConfig, TransportConfig, VarInt};
+use tokio::task::AbortHandle;
+
+use crate::{
+    adapters::{
+        block_on,
+        peers::{
+            PeersTls,
+            dial::Dialer,
+            receive::{PeerAnswer, Receiver},
+            send,
+        },
+        pending::Pending,
+    },
+    ports::{Clock, DecideMessage, PeersMessage, Ring, RingReader},
+};
+
+/// Time after which an unused connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Calls that another node may have open on one connection.
+const MAX_STREAMS: u32 = 4096;
+/// Finished sends after which the handles are looked through.
+const SWEEP_LEN: usize = 1024;
+
+/// Parameters of the peers thread.
+#[derive(Clone)]
+pub struct PeersOptions<C> {
+    /// VM of the node.
+    pub vm: VmName,
+    /// Address for other nodes.
+    pub listen: SocketAddr,
+    /// Certificates.
+    pub tls: PeersTls,
+    /// Largest message.
+    pub max_message_bytes: usize,
+    /// Calls of other nodes that may wait for a reply.
+    pub max_pending: usize,
+    /// The time.
+    pub clock: C,
+}
+
+/// Speaks with other nodes until the ring is closed.
+pub fn run<C: Clock + Sync>(
+    options: PeersOptions<C>,
+    inbox: &RingReader<PeersMessage>,
+    decide: &Ring<DecideMessage>,
+) {
+    block_on(async move {
+        let endpoint = match endpoint(&options) {
+            Ok(endpoint) => endpoint,
+            Err(err) => {
+                spdlog::critical!("cannot listen on {}: {err}; choose a free port", options.listen);
+                std::process::exit(1);
+            }
+        };
+        let pending = Pending::new(Port::Peers, options.max_pending);
+        let receiver = Arc::new(Receiver {
+            options: options.clone(),
+            decide: decide.clone(),
+            pending: pending.clone(),
+        });
+        tokio::spawn(accept(endpoint.clone(), receiver));
+        let mut client = ClientConfig::new(options.tls.client.clone());
+        client.transport_config(transport());
+        let sender = Sender {
+            dialer: Dialer::new(endpoint.clone(), client),
+            options,
+            decide: decide.clone(),
+            pending,
+            handles: HashMap::new(),
+        };
+        sender.run(inbox).await;
+        endpoint.close(0u32.into(), b"stopped");
+        endpoint.wait_idle().await;
+    });
+}
+
+fn transport() -> Arc<TransportConfig> {
+    let mut transport = TransportConfig::default();
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
+    transport.max_concurrent_uni_streams(VarInt::from_u32(0));
+    transport.max_idle_timeout(IdleTimeout::try_from(IDLE_TIMEOUT).ok());
+    Arc::new(transport)
+}
+
+fn endpoint<C>(options: &PeersOptions<C>) -> std::io::Result<Endpoint> {
+    let mut server = ServerConfig::with_crypto(options.tls.server.clone());
+    server.transport_config(transport());
+    Endpoint::server(server, options.listen)
+}
+
+async fn accept<C: Clock + Sync>(endpoint: Endpoint, receiver: Arc<Receiver<C>>) {
+    while let Some(incoming) = endpoint.accept().await {
+        tokio::spawn(receiver.clone().serve(incoming));
+    }
+}
+
+/// Carries messages out.
+struct Sender<C> {
+    dialer: Dialer,
+    options: PeersOptions<C>,
+    decide: Ring<DecideMessage>,
+    pending: Pending<PeerAnswer>,
+    handles: HashMap<(CallKey, u32), AbortHandle>,
+}
+
+impl<C: Clock + Sync> Sender<C> {
+    async fn run(mut self, inbox: &RingReader<PeersMessage>) {
+        while let Some(message) = inbox.next().await {
+            self.take(message);
+        }
+    }
+
+    fn take(&mut self, message: PeersMessage) {
+        match message {
+            PeersMessage::Reply { ticket, outcome, report } => {
+                self.pending.fulfil(ticket, (outcome, report));
+            }
+            PeersMessage::Send { call, attempt, vm, to, service, context, budget, payload } => {
+                let now = self.options.clock.now();
+                let from = &self.options.vm;
+                let bytes = call::encode_call(from, &service, now, &context, budget, &payload);
+                self.send(call, attempt, vm, to, bytes);
+            }
+            PeersMessage::Cancel { call, attempt } => {
+                if let Some(handle) = self.handles.remove(&(call, attempt)) {
+                    handle.abort();
+                }
+            }
+            PeersMessage::Reconnect { to } => self.dialer.replace(to),
+            PeersMessage::AskConfig { vm, to } => {
+                self.ask(vm, to, call::encode_ask_config(&self.options.vm));
+            }
+            PeersMessage::AskMembers { vm, to, own } => self.ask_members(vm, to, &own),
+            PeersMessage::Leaving(others) => self.say_leaving(others),
+        }
+    }
+
+    fn send(&mut self, call: CallKey, attempt: u32, vm: VmName, to: SocketAddr, bytes: Vec<u8>) {
+        let (dialer, decide) = (self.dialer.clone(), self.decide.clone());
+        let max_bytes = self.options.max_message_bytes;
+        let task = tokio::spawn(async move {
+            let result = send::call(&dialer, &vm, to, &bytes, max_bytes).await;
+            let done = Input::PeerDone { call, attempt, result };
+            decide.push(DecideMessage::Input(done)).await;
+        });
+        if self.handles.len() >= SWEEP_LEN {
+            self.handles.retain(|_, handle| !handle.is_finished());
+        }
+        self.handles.insert((call, attempt), task.abort_handle());
+    }
+
+    fn ask_members(&self, vm: VmName, to: SocketAddr, own: &MemberRecord) {
+        self.ask(vm, to, call::encode_ask_members(own));
+    }
+
+    fn ask(&self, vm: VmName, to: SocketAddr, bytes: Vec<u8>) {
+        let (dialer, decide) = (self.dialer.clone(), self.decide.clone());
+        let max_bytes = self.options.max_message_bytes;
+        tokio::spawn(async move {
+            send::ask(&dialer, &vm, to, &bytes, max_bytes, &decide).await;
+        });
+    }
+
+    fn say_leaving(&self, others: Vec<(VmName, SocketAddr)>) {
+        for (vm, to) in others {
+            let dialer = self.dialer.clone();
+            let bytes = call::encode_leaving(&self.options.vm);
+            tokio::spawn(async move { send::tell(&dialer, &vm, to, &bytes).await });
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-node/src/adapters/peers/send.rs
@@ -0,0 +1,79 @@
+//! Messages to other nodes.
+
+use std::{net::SocketAddr, time::Duration};
+
+use poplartrail_core::{
+    engine::{Input, PeerFault, PeerOutcome},
+    names::VmName,
+    route::GateReport,
+};
+use poplartrail_wire::reply::{PeerReply, decode_reply};
+use tokio::time::timeout;
+
+use crate::{
+    adapters::peers::dial::Dialer,
+    ports::{DecideMessage, Ring},
+};
+
+/// Time within which a question that is no call must be answered.
+const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Sends a call and reads its reply.
+pub(crate) async fn call(
+    dialer: &Dialer,
+    vm: &VmName,
+    to: SocketAddr,
+    message: &[u8],
+    max_bytes: usize,
+) -> Result<(PeerOutcome, GateReport), PeerFault> {
+    match exchange(dialer, vm, to, message, max_bytes).await? {
+        PeerReply::Call(outcome, report) => Ok((outcome, report)),
+        _ => Err(PeerFault::Lost),
+    }
+}
+
+/// Asks a question, and hands what is answered to the decide thread.
+pub(crate) async fn ask(
+    dialer: &Dialer,
+    vm: &VmName,
+    to: SocketAddr,
+    message: &[u8],
+    max_bytes: usize,
+    decide: &Ring<DecideMessage>,
+) {
+    let reply = timeout(ASK_TIMEOUT, exchange(dialer, vm, to, message, max_bytes)).await;
+    let input = match reply {
+        Ok(Ok(PeerReply::Config(snapshot))) => Input::PeerConfig(snapshot),
+        Ok(Ok(PeerReply::Members(members))) => Input::PeerMembers(members),
+        _ => return,
+    };
+    decide.push(DecideMessage::Input(input)).await;
+}
+
+/// Tells news that need no answer.
+pub(crate) async fn tell(dialer: &Dialer, vm: &VmName, to: SocketAddr, message: &[u8]) {
+    let send = async {
+        let connection = dialer.connection(to, vm).await?;
+        let (mut tx, _rx) = connection.open_bi().await.ok()?;
+        tx.write_all(message).await.ok()?;
+        tx.finish().ok()?;
+        tx.stopped().await.ok()
+    };
+    // Whoever misses the news learns it from its next call.
+    let _is_late = timeout(ASK_TIMEOUT, send).await.is_err();
+}
+
+async fn exchange(
+    dialer: &Dialer,
+    vm: &VmName,
+    to: SocketAddr,
+    message: &[u8],
+    max_bytes: usize,
+) -> Result<PeerReply, PeerFault> {
+    let connection = dialer.connection(to, vm).await.ok_or(PeerFault::Unsent)?;
+    let (mut tx, mut rx) = connection.open_bi().await.map_err(|_| PeerFault::Unsent)?;
+    tx.write_all(message).await.map_err(|_| PeerFault::Lost)?;
+    tx.finish().map_err(|_| PeerFault::Lost)?;
+    let reply = rx.read_to_end(max_bytes).await.map_err(|_| PeerFault::Lost)?;
+    decode_reply(&reply).map_err(|_| PeerFault::Lost)
+}
--- /dev/null
+++ b/crates/poplartrail-node/src/adapters/peers/tls.rs
@@ -0,0 +1,117 @@
+//! Certificates of nodes.
+
+use std::sync::Arc;
+
+use poplartrail_core::names::VmName;
+use quick_error::quick_error;
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use rustls::{
+    ClientConfig, RootCertStore, ServerConfig,
+    client::verify_server_name,
+    crypto::{CryptoProvider, ring},
+    server::{ParsedCertificate, WebPkiClientVerifier},
+};
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName, pem::PemObject};
+
+/// Protocol name that both ends state.
+const ALPN: &[u8] = b"poplartrail/1";
+
+quick_error! {
+    /// Certificates that cannot be used.
+    #[derive(Debug)]
+    pub enum TlsError {
+        /// A PEM file does not hold what it should.
+        Pem(what: &'static str, why: String) {
+            display("tls.{} cannot be read ({}): give a PEM file", what, why)
+        }
+        /// The parts do not fit together.
+        Config(why: String) {
+            display("tls: {}: check that ca, cert and key belong together", why)
+        }
+    }
+}
+
+/// The node's own certificate and the authority that it trusts.
+#[derive(Clone)]
+pub struct PeersTls {
+    pub(crate) server: Arc<QuicServerConfig>,
+    pub(crate) client: Arc<QuicClientConfig>,
+}
+
+impl PeersTls {
+    /// Reads PEM texts.
+    pub fn new(ca: &[u8], cert: &[u8], key: &[u8]) -> Result<Self, TlsError> {
+        let config = |err: &dyn std::fmt::Display| TlsError::Config(err.to_string());
+        let provider = Arc::new(ring::default_provider());
+        let roots = Arc::new(roots(ca)?);
+        let chain = certs("cert", cert)?;
+        let key = PrivateKeyDer::from_pem_slice(key)
+            .map_err(|err| TlsError::Pem("key", err.to_string()))?;
+        let server = server_config(&provider, &roots, chain.clone(), key.clone_key())?;
+        let client = client_config(&provider, &roots, chain, key)?;
+        Ok(Self {
+            server: Arc::new(QuicServerConfig::try_from(server).map_err(|err| config(&err))?),
+            client: Arc::new(QuicClientConfig::try_from(client).map_err(|err| config(&err))?),
+        })
+    }
+}
+
+fn certs(what: &'static str, pem: &[u8]) -> Result<Vec<CertificateDer<'static>>, TlsError> {
+    let certs: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(pem).collect();
+    certs.map_err(|err| TlsError::Pem(what, err.to_string()))
+}
+
+fn roots(ca: &[u8]) -> Result<RootCertStore, TlsError> {
+    let mut roots = RootCertStore::empty();
+    for cert in certs("ca", ca)? {
+        roots.add(cert).map_err(|err| TlsError::Pem("ca", err.to_string()))?;
+    }
+    Ok(roots)
+}
+
+fn server_config(
+    provider: &Arc<CryptoProvider>,
+    roots: &Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+) -> Result<ServerConfig, TlsError> {
+    let error = |err: String| TlsError::Config(err);
+    let verifier = WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone())
+        .build()
+        .map_err(|err| error(err.to_string()))?;
+    let mut config = ServerConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(|err| error(err.to_string()))?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(chain, key)
+        .map_err(|err| error(err.to_string()))?;
+    config.alpn_protocols = vec![ALPN.to_vec()];
+    Ok(config)
+}
+
+fn client_config(
+    provider: &Arc<CryptoProvider>,
+    roots: &Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+) -> Result<ClientConfig, TlsError> {
+    let error = |err: String| TlsError::Config(err);
+    let mut config = ClientConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(|err| error(err.to_string()))?
+        .with_root_certificates(roots.clone())
+        .with_client_auth_cert(chain, key)
+        .map_err(|err| error(err.to_string()))?;
+    config.alpn_protocols = vec![ALPN.to_vec()];
+    Ok(config)
+}
+
+/// Whether the other end of `connection` has a certificate for the name `vm`.
+pub(crate) fn is_named(connection: &quinn::Connection, vm: &VmName) -> bool {
+    let Some(identity) = connection.peer_identity() else { return false };
+    let Ok(chain) = identity.downcast::<Vec<CertificateDer<'static>>>() else { return false };
+    let Some(leaf) = chain.first() else { return false };
+    let Ok(leaf) = ParsedCertificate::try_from(leaf) else { return false };
+    let Ok(name) = ServerName::try_from(vm.as_str().to_owned()) else { return false };
+    verify_server_name(&leaf, &name).is_ok()
+}
--- /dev/null
+++ b/crates/poplartrail-node/src/adapters/report/json.rs
@@ -0,0 +1,59 @@
+//! Status and events as JSON.
+
+use poplartrail_core::{engine::NodeView, names::VmName};
+use serde_json::{Value, json};
+
+use crate::adapters::report::events::Numbered;
+
+/// The state of a node.
+pub(crate) fn status(view: &NodeView) -> Value {
+    let ranks: Vec<Value> = view
+        .ranks
+        .iter()
+        .map(|r| json!({"rank": r.rank.as_str(), "share": r.share, "path_share": r.path_share}))
+        .collect();
+    let instances: Vec<Value> = view
+        .instances
+        .iter()
+        .map(|i| {
+            json!({
+                "service": i.service.as_str(),
+                "vm": i.vm.as_str(),
+                "zone": i.zone.as_str(),
+                "addr": i.addr.to_string(),
+                "open": i.is_open,
+                "outstanding": i.outstanding,
+            })
+        })
+        .collect();
+    let limit = if view.limit == usize::MAX { Value::Null } else { json!(view.limit) };
+    json!({
+        "vm": view.vm.as_str(),
+        "service": view.service.as_str(),
+        "zone": view.zone.as_str(),
+        "phase": view.phase,
+        "config": view.config,
+        "limit": limit,
+        "in_flight": view.in_flight,
+        "queued": view.queued,
+        "slots": view.slots,
+        "keys": view.keys,
+        "ranks": ranks,
+        "instances": instances,
+    })
+}
+
+/// One event of the time line.
+pub(crate) fn event(vm: &VmName, event: &Numbered) -> Value {
+    let message = &event.message;
+    let request = message.event.request.map(|id| uuid::Uuid::from_u128(id.0).to_string());
+    json!({
+        "at_ms": message.at.as_millis(),
+        "vm": vm.as_str(),
+        "number": event.number,
+        "kind": message.event.kind.word(),
+        "request": request,
+        "rank": message.event.rank.as_ref().map(|rank| rank.as_str()),
+        "text": message.event.kind.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/poplartrail-node/src/adapters/report/serve.rs
@@ -0,0 +1,164 @@
+//! The HTTP server of the report thread.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use http::{HeaderValue, Response, StatusCode, header};
+use metrics_exporter_prometheus::PrometheusHandle;
+use poplartrail_core::{engine::NodeView, names::VmName};
+use tokio::sync::watch;
+use volo::{Service, net::Address};
+use volo_http::{body::Body, context::ServerContext, request::Request, server::Server};
+
+use crate::{
+    adapters::{
+        block_on,
+        report::{EventLog, json},
+    },
+    ports::{DecideMessage, ReportMessage, Ring, RingReader, ring},
+};
+
+/// Parameters of the report thread.
+#[derive(Clone)]
+pub struct ReportOptions {
+    /// VM of the node.
+    pub vm: VmName,
+    /// Address for operators.
+    pub listen: SocketAddr,
+    /// Events that are kept.
+    pub events: usize,
+    /// The metrics of the process.
+    pub metrics: PrometheusHandle,
+}
+
+/// Serves operators until a signal asks for a stop and nothing is in progress.
+pub fn run(
+    options: ReportOptions,
+    inbox: RingReader<ReportMessage>,
+    decide: &Ring<DecideMessage>,
+    stopped: &watch::Receiver<bool>,
+) {
+    block_on(async move {
+        let events = Arc::new(Mutex::new(EventLog::new(options.events)));
+        tokio::spawn(collect(inbox, events.clone()));
+        let listen = options.listen;
+        let front = Front { options, events, decide: decide.clone() };
+        let mut stopped = stopped.clone();
+        let server = Server::new(front).http1_only().register_shutdown_hook(move || {
+            Box::pin(async move {
+                let _is_closed = stopped.wait_for(|is_stopped| *is_stopped).await.is_err();
+            })
+        });
+        if let Err(err) = server.run(Address::from(listen)).await {
+            spdlog::critical!("cannot serve on {listen}: {err}; choose a free address");
+            std::process::exit(1);
+        }
+    });
+}
+
+async fn collect(inbox: RingReader<ReportMessage>, events: Arc<Mutex<EventLog>>) {
+    while let Some(message) = inbox.next().await {
+        let kind = &message.event.kind;
+        let request = message.event.request.map(|id| uuid::Uuid::from_u128(id.0).to_string());
+        match request {
+            Some(request) => spdlog::debug!("{kind}", kv: { request = request.as_str() }),
+            None => spdlog::info!("{kind}"),
+        }
+        events.lock().unwrap_or_else(PoisonError::into_inner).add(message);
+    }
+}
+
+#[derive(Clone)]
+struct Front {
+    options: ReportOptions,
+    events: Arc<Mutex<EventLog>>,
+    decide: Ring<DecideMessage>,
+}
+
+impl Service<ServerContext, Request> for Front {
+    type Response = Response<Body>;
+    type Error = Infallible;
+
+    async fn call(
+        &self,
+        _cx: &mut ServerContext,
+        req: Request,
+    ) -> Result<Self::Response, Self::Error> {
+        let uri = req.uri();
+        Ok(match uri.path() {
+            "/health" => self.health().await,
+            "/metrics" => text(StatusCode::OK, "text/plain; version=0.0.4", self.metrics()),
+            "/status" => self.status().await,
+            "/events" => self.events(uri.query().unwrap_or("")),
+            _ => text(
+                StatusCode::NOT_FOUND,
+                "text/plain",
+                "no such page: ask for /health, /metrics, /status or /events\n".to_owned(),
+            ),
+        })
+    }
+}
+
+impl Front {
+    async fn view(&self) -> Option<NodeView> {
+        let (tx, rx) = ring(1);
+        if !self.decide.push(DecideMessage::View(tx)).await {
+            return None;
+        }
+        rx.next().await
+    }
+
+    async fn health(&self) -> Response<Body> {
+        match self.view().await {
+            Some(view) if view.phase == "serving" => {
+                text(StatusCode::OK, "text/plain", "serving\n".to_owned())
+            }
+            Some(view) => {
+                let phase = format!("{}\n", view.phase);
+                text(StatusCode::SERVICE_UNAVAILABLE, "text/plain", phase)
+            }
+            None => gone(),
+        }
+    }
+
+    fn metrics(&self) -> String {
+        self.options.metrics.render()
+    }
+
+    async fn status(&self) -> Response<Body> {
+        match self.view().await {
+            Some(view) => {
+                text(StatusCode::OK, "application/json", format!("{}\n", json::status(&view)))
+            }
+            None => gone(),
+        }
+    }
+
+    fn events(&self, query: &str) -> Response<Body> {
+        let from = query.strip_prefix("from=").unwrap_or("0").parse();
+        let Ok(from) = from else {
+            let why = "from is no number: ask for /events?from=0\n".to_owned();
+            return text(StatusCode::BAD_REQUEST, "text/plain", why);
+        };
+        let events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
+        let lines: String = events
+            .since(from)
+            .map(|event| format!("{}\n", json::event(&self.options.vm, event)))
+            .collect();
+        text(StatusCode::OK, "application/x-ndjson", lines)
+    }
+}
+
+fn gone() -> Response<Body> {
+    text(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "the node has stopped\n".to_owned())
+}
+
+fn text(status: StatusCode, kind: &'static str, body: String) -> Response<Body> {
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
--- /dev/null
+++ b/crates/poplartrail-node/src/adapters/upstream/dispatch.rs
@@ -0,0 +1,111 @@
+//! One call to the upstream.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, header};
+use http_body_util::Full;
+use poplartrail_core::{
+    call::{Answer, Context, Field, Payload},
+    engine::{CallKey, UpstreamFault},
+};
+
+use poplartrail_http::{WholeBody, WholeClient, is_unconnected, read_body};
+
+use crate::{
+    adapters::{
+        http::{add_fields, end_to_end},
+        ingress::fields::{CONTEXT, DEADLINE, RANK, REQUEST, context_text},
+        upstream::UpstreamOptions,
+    },
+    ports::Clock,
+};
+
+/// Sends calls to the upstream.
+#[derive(Clone)]
+pub(crate) struct Dispatcher<C> {
+    client: Arc<WholeClient>,
+    options: Arc<UpstreamOptions<C>>,
+}
+
+impl<C: Clock> Dispatcher<C> {
+    pub(crate) fn new(client: WholeClient, options: UpstreamOptions<C>) -> Self {
+        Self { client: Arc::new(client), options: Arc::new(options) }
+    }
+
+    /// Sends a call and reads its whole answer.
+    pub(crate) async fn dispatch(
+        &self,
+        call: CallKey,
+        context: &Context,
+        payload: Payload,
+    ) -> Result<Answer, UpstreamFault> {
+        let is_head = &*payload.method == "HEAD";
+        let request = self.request(call, context, payload).ok_or(UpstreamFault::NotConnected)?;
+        let (parts, body) = request.into_parts();
+        let method = parts.method.clone();
+        let target = format!("http://{}{}", self.options.addr, parts.uri);
+        let mut builder = self.client.request(method, target);
+        *builder.headers_mut() = parts.headers;
+        let response = builder.body(body).send().await.map_err(|err| {
+            if is_unconnected(&err) { UpstreamFault::NotConnected } else { UpstreamFault::Lost }
+        })?;
+        let (parts, body) = response.into_parts();
+        let mut fields = end_to_end(&parts.headers);
+        if is_head {
+            fields.extend(length_field(&parts.headers));
+        }
+        let body = read_body(body, self.options.max_body_bytes).await;
+        let body = body.map_err(|_| UpstreamFault::Lost)?;
+        Ok(Answer { status: parts.status.as_u16(), fields, body })
+    }
+
+    /// The request for the upstream, or `None` if it is no valid HTTP.
+    fn request(
+        &self,
+        call: CallKey,
+        context: &Context,
+        payload: Payload,
+    ) -> Option<Request<WholeBody>> {
+        let method = Method::from_bytes(payload.method.as_bytes()).ok()?;
+        let mut request = Request::builder()
+            .method(method)
+            .uri(&*payload.target)
+            .body(Full::new(payload.body))
+            .ok()?;
+        let headers = request.headers_mut();
+        add_fields(headers, &payload.fields);
+        self.add_own_fields(headers, call, context)?;
+        Some(request)
+    }
+
+    fn add_own_fields(
+        &self,
+        headers: &mut HeaderMap,
+        call: CallKey,
+        context: &Context,
+    ) -> Option<()> {
+        let left = context.deadline.since(self.options.clock.now());
+        let request = uuid::Uuid::from_u128(context.request.0).to_string();
+        headers.insert(CONTEXT, text_value(&context_text(call))?);
+        headers.insert(REQUEST, text_value(&request)?);
+        headers.insert(RANK, text_value(context.rank.as_str())?);
+        headers.insert(DEADLINE, HeaderValue::from(left.as_millis() as u64));
+        headers.append(header::VIA, text_value(&format!("1.1 {}", self.options.vm))?);
+        if !headers.contains_key(header::HOST) {
+            headers.insert(header::HOST, text_value(&self.options.addr.to_string())?);
+        }
+        Some(())
+    }
+}
+
+fn text_value(text: &str) -> Option<HeaderValue> {
+    HeaderValue::from_str(text).ok()
+}
+
+/// The length that an answer to `HEAD` states for the body that it leaves out.
+fn length_field(headers: &HeaderMap) -> Option<Field> {
+    let value = headers.get(header::CONTENT_LENGTH)?;
+    let value = Bytes::copy_from_slice(value.as_bytes());
+    Some(Field { name: Arc::from(header::CONTENT_LENGTH.as_str()), value })
+}
--- /dev/null
+++ b/crates/poplartrail-node/src/adapters/upstream/run.rs
@@ -0,0 +1,87 @@
+//! The loop of the upstream thread.
+
+use std::{collections::HashMap, net::SocketAddr};
+
+use poplartrail_core::{
+    engine::{CallKey, Input},
+    names::VmName,
+};
+use poplartrail_http::client;
+use tokio::task::{AbortHandle, JoinSet};
+
+use crate::{
+    adapters::{block_on, upstream::dispatch::Dispatcher},
+    ports::{Clock, DecideMessage, Ring, RingReader, UpstreamMessage},
+};
+
+/// Parameters of the upstream thread.
+#[derive(Debug, Clone)]
+pub struct UpstreamOptions<C> {
+    /// VM of the node, for the field that names the hops.
+    pub vm: VmName,
+    /// Address of the upstream.
+    pub addr: SocketAddr,
+    /// Idle connections that are kept.
+    pub connections: usize,
+    /// Largest body of an answer.
+    pub max_body_bytes: usize,
+    /// The time.
+    pub clock: C,
+}
+
+/// Carries calls to the upstream until the ring is closed.
+pub fn run<C: Clock + Sync>(
+    options: UpstreamOptions<C>,
+    inbox: &RingReader<UpstreamMessage>,
+    decide: &Ring<DecideMessage>,
+) {
+    block_on(async move {
+        let client = match client(options.connections) {
+            Ok(client) => client,
+            Err(err) => return spdlog::critical!("no client for the upstream: {err}"),
+        };
+        let dispatcher = Dispatcher::new(client, options);
+        let mut tasks = Tasks::default();
+        while let Some(message) = inbox.next().await {
+            match message {
+                UpstreamMessage::Dispatch { call, context, payload } => {
+                    let (dispatcher, decide) = (dispatcher.clone(), decide.clone());
+                    tasks.spawn(call, async move {
+                        let result = dispatcher.dispatch(call, &context, payload).await;
+                        let done = Input::UpstreamDone { call, result };
+                        decide.push(DecideMessage::Input(done)).await;
+                    });
+                }
+                UpstreamMessage::Cancel(call) => tasks.cancel(call),
+            }
+        }
+    });
+}
+
+/// Running calls, so that they can be cancelled.
+#[derive(Debug, Default)]
+struct Tasks {
+    set: JoinSet<()>,
+    handles: HashMap<CallKey, AbortHandle>,
+}
+
+/// Finished calls after which the handles are looked through.
+const SWEEP_LEN: usize = 1024;
+
+impl Tasks {
+    fn spawn(&mut self, call: CallKey, task: impl Future<Output = ()> + Send + 'static) {
+        while self.set.try_join_next().is_some() {}
+        if self.handles.len() >= SWEEP_LEN + 2 * self.set.len() {
+            self.handles.retain(|_, handle| !handle.is_finished());
+        }
+        let handle = self.set.spawn(task);
+        self.handles.insert(call, handle);
+    }
+
+    /// Drops the call's request, which closes its connection to the upstream.
+    fn cancel(&mut self, call: CallKey) {
+        if let Some(handle) = self.handles.remove(&call) {
+            handle.abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-node/src/daemon/mod.rs
@@ -0,0 +1,9 @@
+//! Wiring: settings become rings and threads.
+
+mod error;
+mod logging;
+mod start;
+
+pub use error::DaemonError;
+pub use logging::init_logging;
+pub use start::run;
--- /dev/null
+++ b/crates/poplartrail-node/src/decide/outlets.rs
@@ -0,0 +1,111 @@
+//! Where outputs go.
+
+use metrics::counter;
+use poplartrail_core::{
+    call::Outcome,
+    engine::{Input, Output, PeerFault, Port, UpstreamFault},
+    time::WallTime,
+};
+
+use crate::ports::{
+    IngressMessage, PeersMessage, PlatformMessage, ReportMessage, Ring, UpstreamMessage,
+};
+
+/// Writing ends of the rings to all other threads.
+#[derive(Debug)]
+pub struct Outlets {
+    /// To the ingress thread.
+    pub ingress: Ring<IngressMessage>,
+    /// To the peers thread.
+    pub peers: Ring<PeersMessage>,
+    /// To the upstream thread.
+    pub upstream: Ring<UpstreamMessage>,
+    /// To the platform thread.
+    pub platform: Ring<PlatformMessage>,
+    /// To the report thread.
+    pub report: Ring<ReportMessage>,
+}
+
+impl Outlets {
+    /// Carries one output out. A full ring never blocks: what it means for the call is returned.
+    pub(crate) fn carry(&self, wall: WallTime, output: Output) -> Option<Input> {
+        match output {
+            Output::Reply { ticket, outcome, report } => {
+                count_outcome(&outcome);
+                match ticket.port {
+                    Port::Ingress => {
+                        note_full(
+                            self.ingress.offer(IngressMessage { ticket, outcome }),
+                            "ingress",
+                        );
+                    }
+                    Port::Peers => {
+                        let reply = PeersMessage::Reply { ticket, outcome, report };
+                        note_full(self.peers.offer(reply), "peers");
+                    }
+                }
+                None
+            }
+            Output::Dispatch { call, context, payload } => {
+                let message = UpstreamMessage::Dispatch { call, context, payload };
+                let is_full = note_full(self.upstream.offer(message), "upstream");
+                is_full.then_some(Input::UpstreamDone {
+                    call,
+                    result: Err(UpstreamFault::NotConnected),
+                })
+            }
+            Output::Send { call, attempt, vm, to, service, context, budget, payload } => {
+                let message =
+                    PeersMessage::Send { call, attempt, vm, to, service, context, budget, payload };
+                let is_full = note_full(self.peers.offer(message), "peers");
+                is_full.then_some(Input::PeerDone { call, attempt, result: Err(PeerFault::Unsent) })
+            }
+            output => {
+                self.carry_rest(wall, output);
+                None
+            }
+        }
+    }
+
+    /// Carries out what may be lost: the node asks again, or the other side times out.
+    fn carry_rest(&self, wall: WallTime, output: Output) {
+        let peers = |message| note_full(self.peers.offer(message), "peers");
+        let platform = |message| note_full(self.platform.offer(message), "platform");
+        let _is_full = match output {
+            Output::CancelDispatch { call } => {
+                note_full(self.upstream.offer(UpstreamMessage::Cancel(call)), "upstream")
+            }
+            Output::CancelSend { call, attempt } => peers(PeersMessage::Cancel { call, attempt }),
+            Output::Reconnect { to, .. } => peers(PeersMessage::Reconnect { to }),
+            Output::AskConfig { to, vm } => peers(PeersMessage::AskConfig { vm, to }),
+            Output::AskMembers { to, vm, own } => peers(PeersMessage::AskMembers { vm, to, own }),
+            Output::TellLeaving(others) => peers(PeersMessage::Leaving(others)),
+            Output::AppendMember(record) => platform(PlatformMessage::AppendMember(record)),
+            Output::AppendSnapshot(snapshot) => platform(PlatformMessage::AppendSnapshot(snapshot)),
+            Output::AppendChange(change) => platform(PlatformMessage::AppendChange(change)),
+            Output::Follow(services) => platform(PlatformMessage::Follow(services)),
+            Output::Note(event) => {
+                counter!("poplartrail_events_total", "kind" => event.kind.word()).increment(1);
+                note_full(self.report.offer(ReportMessage { at: wall, event }), "report")
+            }
+            _ => false,
+        };
+    }
+}
+
+fn count_outcome(outcome: &Outcome) {
+    counter!("poplartrail_outcomes_total", "outcome" => outcome.word()).increment(1);
+    if let Outcome::NotRun(not_run) = outcome {
+        let reason = format!("{:?}", not_run.reason());
+        counter!("poplartrail_refusals_total", "reason" => reason).increment(1);
+    }
+}
+
+/// Counts a message that found its ring full, and tells whether it did.
+#[expect(clippy::needless_pass_by_value, reason = "the refused message ends here")]
+fn note_full<T>(offered: Result<(), T>, ring: &'static str) -> bool {
+    if offered.is_err() {
+        counter!("poplartrail_ring_full_total", "ring" => ring).increment(1);
+    }
+    offered.is_err()
+}
--- /dev/null
+++ b/crates/poplartrail-node/src/decide/run.rs
@@ -0,0 +1,86 @@
+//! The loop of the decide thread.
+
+use metrics::gauge;
+use poplartrail_core::engine::{Input, Node, Output};
+use tokio::sync::watch;
+
+use crate::{
+    decide::Outlets,
+    ports::{Clock, DecideMessage, RingReader, Wait},
+};
+
+/// Messages that are taken before the timers are looked at again.
+const BATCH: usize = 64;
+
+/// Tells when nothing is in progress on a node that is leaving.
+pub type Stopped = watch::Sender<bool>;
+
+/// Takes messages until every writing end of `inbox` is gone.
+///
+/// The thread parks until the next message or the node's next wake-up.
+pub fn run(
+    mut node: Node,
+    clock: &impl Clock,
+    inbox: &RingReader<DecideMessage>,
+    outlets: &Outlets,
+    stopped: &Stopped,
+) {
+    let mut out = Vec::new();
+    loop {
+        let wait = node.next_wake().since(clock.now());
+        match inbox.take_within(wait) {
+            Ok(message) => {
+                take(&mut node, clock, message, &mut out);
+                for _ in 1..BATCH {
+                    let Some(message) = inbox.take() else { break };
+                    take(&mut node, clock, message, &mut out);
+                }
+            }
+            Err(Wait::TimedOut) => {}
+            Err(Wait::Closed) => return,
+        }
+        if clock.now() >= node.next_wake() {
+            node.handle(clock.now(), clock.wall(), Input::Wake, &mut out);
+        }
+        carry_out(&mut node, clock, outlets, &mut out, stopped);
+        gauge!("poplartrail_calls_in_progress").set(node.calls().len() as f64);
+    }
+}
+
+fn take(node: &mut Node, clock: &impl Clock, message: DecideMessage, out: &mut Vec<Output>) {
+    let (now, wall) = (clock.now(), clock.wall());
+    // Whoever asked may have gone; then nobody reads the answer.
+    match message {
+        DecideMessage::Input(input) => node.handle(now, wall, input, out),
+        DecideMessage::View(answer) => drop(answer.offer(node.view(now))),
+        DecideMessage::MintKey(answer) => drop(answer.offer(node.mint_key(wall))),
+        DecideMessage::Snapshot(answer) => {
+            drop(answer.offer(node.keeper().history().snapshot()));
+        }
+        DecideMessage::Members { own, answer } => {
+            drop(answer.offer(node.keeper().members()));
+            node.handle(now, wall, Input::PeerMembers(vec![own]), out);
+        }
+    }
+}
+
+/// Carries outputs out until none is left; a full ring comes back as an input.
+fn carry_out(
+    node: &mut Node,
+    clock: &impl Clock,
+    outlets: &Outlets,
+    out: &mut Vec<Output>,
+    stopped: &Stopped,
+) {
+    while !out.is_empty() {
+        for output in std::mem::take(out) {
+            if output == Output::Stopped {
+                stopped.send_replace(true);
+                continue;
+            }
+            if let Some(input) = outlets.carry(clock.wall(), output) {
+                node.handle(clock.now(), clock.wall(), input, out);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-node/src/ports/message.rs
@@ -0,0 +1,146 @@
+//! What goes over each ring.
+
+use std::net::SocketAddr;
+
+use poplartrail_core::{
+    call::{Context, Outcome, Payload, RetryBudget},
+    config::{Change, Snapshot},
+    engine::{CallKey, Event, Input, NodeView, Ticket},
+    keys::IdempotencyKey,
+    member::MemberRecord,
+    names::{ServiceName, VmName},
+    route::GateReport,
+    time::WallTime,
+};
+
+use crate::ports::Ring;
+
+/// To the decide thread.
+#[derive(Debug)]
+pub enum DecideMessage {
+    /// Something happened.
+    Input(Input),
+    /// An operator or a front end wants to see the node.
+    View(Ring<NodeView>),
+    /// A caller wants a key whose home is here.
+    MintKey(Ring<Option<IdempotencyKey>>),
+    /// Another node wants the configuration.
+    Snapshot(Ring<Option<Snapshot>>),
+    /// Another node wants to know the members, and says who it is.
+    Members {
+        /// What the other node says of itself.
+        own: MemberRecord,
+        /// Where the answer goes.
+        answer: Ring<Vec<MemberRecord>>,
+    },
+}
+
+/// To the ingress thread: a reply for a ticket.
+#[derive(Debug)]
+pub struct IngressMessage {
+    /// Who waits.
+    pub ticket: Ticket,
+    /// What to tell.
+    pub outcome: Outcome,
+}
+
+/// To the peers thread.
+#[derive(Debug)]
+pub enum PeersMessage {
+    /// A reply for another node's call.
+    Reply {
+        /// Who waits.
+        ticket: Ticket,
+        /// What to tell.
+        outcome: Outcome,
+        /// State of the gate.
+        report: GateReport,
+    },
+    /// A call for another node.
+    Send {
+        /// The call.
+        call: CallKey,
+        /// Which of its sends.
+        attempt: u32,
+        /// The other node.
+        vm: VmName,
+        /// Its address.
+        to: SocketAddr,
+        /// The service.
+        service: ServiceName,
+        /// What travels with it.
+        context: Context,
+        /// Retries that the other node may cause.
+        budget: RetryBudget,
+        /// Its content.
+        payload: Payload,
+    },
+    /// Nobody waits for a call any longer.
+    Cancel {
+        /// The call.
+        call: CallKey,
+        /// Which of its sends.
+        attempt: u32,
+    },
+    /// Replace a connection.
+    Reconnect {
+        /// Address of the other node.
+        to: SocketAddr,
+    },
+    /// Ask for the configuration.
+    AskConfig {
+        /// The other node.
+        vm: VmName,
+        /// Its address.
+        to: SocketAddr,
+    },
+    /// Ask for the members.
+    AskMembers {
+        /// The other node.
+        vm: VmName,
+        /// Its address.
+        to: SocketAddr,
+        /// What this node says of itself.
+        own: MemberRecord,
+    },
+    /// Tell that this node is leaving.
+    Leaving(Vec<(VmName, SocketAddr)>),
+}
+
+/// To the upstream thread.
+#[derive(Debug)]
+pub enum UpstreamMessage {
+    /// A call for the upstream.
+    Dispatch {
+        /// The call.
+        call: CallKey,
+        /// What travels with it.
+        context: Context,
+        /// Its content.
+        payload: Payload,
+    },
+    /// Nobody waits for a call any longer.
+    Cancel(CallKey),
+}
+
+/// To the platform thread.
+#[derive(Debug)]
+pub enum PlatformMessage {
+    /// Append to the stream of the own service.
+    AppendMember(MemberRecord),
+    /// Append a snapshot to the configuration stream.
+    AppendSnapshot(Snapshot),
+    /// Append a change to the configuration stream.
+    AppendChange(Change),
+    /// Read more streams.
+    Follow(Vec<ServiceName>),
+}
+
+/// To the report thread.
+#[derive(Debug)]
+pub struct ReportMessage {
+    /// When it happened.
+    pub at: WallTime,
+    /// What happened.
+    pub event: Event,
+}
--- /dev/null
+++ b/crates/poplartrail-stand/src/fleet/mod.rs
@@ -0,0 +1,9 @@
+//! Real processes on loopback: the daemon and its stand-ins.
+
+mod plan;
+mod process;
+mod running;
+
+pub use plan::{FleetPlan, NodePlan};
+pub use process::Process;
+pub use running::{Fleet, NodeHandle};
--- /dev/null
+++ b/crates/poplartrail-stand/src/fleet/plan.rs
@@ -0,0 +1,88 @@
+//! What a fleet consists of.
+
+use std::time::Duration;
+
+use crate::upstream::Behaviour;
+
+/// One node with its upstream.
+#[derive(Debug, Clone)]
+pub struct NodePlan {
+    pub(crate) vm: String,
+    pub(crate) service: String,
+    pub(crate) zone: String,
+    pub(crate) next: Option<String>,
+    pub(crate) behaviour: Behaviour,
+}
+
+impl NodePlan {
+    /// A node of `service` in `zone` on the VM `vm`.
+    pub fn new(vm: &str, service: &str, zone: &str) -> Self {
+        Self {
+            vm: vm.to_owned(),
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            next: None,
+            behaviour: Behaviour::default(),
+        }
+    }
+
+    /// Lets its upstream call `service` for each call.
+    #[must_use]
+    pub fn next(mut self, service: &str) -> Self {
+        self.next = Some(service.to_owned());
+        self
+    }
+
+    /// Sets how its upstream behaves.
+    #[must_use]
+    pub fn behaviour(mut self, behaviour: Behaviour) -> Self {
+        self.behaviour = behaviour;
+        self
+    }
+}
+
+/// A whole fleet.
+#[derive(Debug, Clone)]
+pub struct FleetPlan {
+    pub(crate) nodes: Vec<NodePlan>,
+    pub(crate) base: String,
+    pub(crate) overlay: String,
+    pub(crate) extra_settings: String,
+    pub(crate) poll: Duration,
+    pub(crate) retention: Duration,
+}
+
+impl FleetPlan {
+    /// A fleet under the base file `base`.
+    pub fn new(base: &str) -> Self {
+        Self {
+            nodes: Vec::new(),
+            base: base.to_owned(),
+            overlay: String::new(),
+            extra_settings: String::new(),
+            poll: Duration::from_millis(100),
+            retention: Duration::from_secs(3600),
+        }
+    }
+
+    /// Adds a node.
+    #[must_use]
+    pub fn node(mut self, node: NodePlan) -> Self {
+        self.nodes.push(node);
+        self
+    }
+
+    /// Adds tables to every settings file.
+    #[must_use]
+    pub fn extra_settings(mut self, toml: &str) -> Self {
+        self.extra_settings = toml.to_owned();
+        self
+    }
+
+    /// Sets the time for which the log keeps records.
+    #[must_use]
+    pub fn retention(mut self, retention: Duration) -> Self {
+        self.retention = retention;
+        self
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-stand/src/fleet/process.rs
@@ -0,0 +1,85 @@
+//! One child process of a test.
+
+use std::{
+    fs::File,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+/// Time between two looks at a process that is ending.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// A child process that is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    output: PathBuf,
+}
+
+impl Process {
+    /// Starts the program `name` from the folder of the running program.
+    ///
+    /// Its output goes to a file in `dir` that is named after `label`.
+    pub fn start(dir: &Path, name: &str, label: &str, args: &[String]) -> Self {
+        let program = program(name);
+        let output = dir.join(format!("{label}.log"));
+        let file = File::create(&output).expect("the folder of the test can be written");
+        let errors = file.try_clone().expect("a file handle can be copied");
+        let child = Command::new(&program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(file)
+            .stderr(errors)
+            .spawn()
+            .unwrap_or_else(|err| panic!("{} does not start: {err}", program.display()));
+        Self { child, output }
+    }
+
+    /// What the process has written.
+    pub fn output(&self) -> String {
+        std::fs::read_to_string(&self.output).unwrap_or_default()
+    }
+
+    /// Sends the signal `name`, for instance `TERM`, to the process.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([format!("-{name}"), pid]).status();
+        assert!(status.is_ok_and(|status| status.success()), "signal {name} can be sent");
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        // It may have ended by itself.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+
+    /// Waits for the end of the process; `None` if it runs on after `timeout`.
+    pub fn wait(&mut self, timeout: Duration) -> Option<i32> {
+        let end = Instant::now() + timeout;
+        while Instant::now() < end {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status.code().unwrap_or(-1));
+            }
+            std::thread::sleep(LOOK_PAUSE);
+        }
+        None
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The path of a program of this workspace, next to the running test or program.
+fn program(name: &str) -> PathBuf {
+    let here = std::env::current_exe().expect("the path of this program is known");
+    let mut dir = here.parent().expect("a program lies in a folder");
+    if dir.ends_with("deps") || dir.ends_with("examples") {
+        dir = dir.parent().expect("the build folder has a parent");
+    }
+    dir.join(name)
+}
--- /dev/null
+++ b/crates/poplartrail-stand/src/fleet/running.rs
@@ -0,0 +1,301 @@
+//! A fleet that runs.
+
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    path::{Path, PathBuf},
+    sync::atomic::{AtomicU32, Ordering},
+    time::{Duration, Instant},
+};
+
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::{
+    caller::{Call, Caller, Reply},
+    certificates::Authority,
+    fleet::{FleetPlan, NodePlan, Process},
+    log::Faults,
+    upstream::{Behaviour, Counts},
+};
+
+/// Time within which a fleet must serve.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between two looks at a condition.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// Site of the stand-in fleets.
+const SITE: &str = "stand";
+
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
+/// One node with its upstream.
+pub struct NodeHandle {
+    /// Name of the VM.
+    pub vm: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other nodes.
+    pub peers: SocketAddr,
+    /// Address for operators.
+    pub report: SocketAddr,
+    /// Address of the upstream.
+    pub upstream: SocketAddr,
+    /// The daemon.
+    pub daemon: Process,
+    /// The upstream's process.
+    pub stand: Process,
+    settings: PathBuf,
+}
+
+/// Processes of a test, killed when dropped.
+pub struct Fleet {
+    /// The nodes, in the order of the plan.
+    pub nodes: Vec<NodeHandle>,
+    /// Address of the log.
+    pub log: SocketAddr,
+    /// The log's process.
+    pub log_process: Process,
+    /// The certificate authority.
+    pub authority: Authority,
+    dir: PathBuf,
+    plan: FleetPlan,
+}
+
+/// A free TCP and UDP port on loopback.
+fn free_address() -> SocketAddr {
+    for _ in 0..64 {
+        let tcp = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("loopback has free ports");
+        let addr = tcp.local_addr().expect("a bound socket has an address");
+        if UdpSocket::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+    panic!("no port is free for both TCP and UDP");
+}
+
+impl Fleet {
+    /// Starts the processes, publishes the base file, and waits until every node serves.
+    pub async fn start(plan: FleetPlan) -> Self {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let name = format!("poplartrail-{}-{number}", std::process::id());
+        let dir = std::env::temp_dir().join(name);
+        fs::create_dir_all(&dir).expect("the folder for temporary files can be written");
+        let log = free_address();
+        let retention = plan.retention.as_secs().to_string();
+        let args = ["--retention-s".to_owned(), retention, log.to_string()];
+        let log_process = Process::start(&dir, "stand-log", "log", &args);
+        let authority = Authority::new();
+        let mut fleet =
+            Self { nodes: Vec::new(), log, log_process, authority, dir, plan: plan.clone() };
+        fleet.await_port(log).await;
+        for node in &plan.nodes {
+            fleet.add_node(node);
+        }
+        fleet.publish("base", &plan.base, 0);
+        if !plan.overlay.is_empty() {
+            fleet.publish(SITE, &plan.overlay, 0);
+        }
+        fleet.await_serving().await;
+        fleet.await_routes().await;
+        fleet
+    }
+
+    /// Starts one more node.
+    pub fn add_node(&mut self, plan: &NodePlan) {
+        let addrs: Vec<SocketAddr> = (0..5).map(|_| free_address()).collect();
+        let [callers, outbound, peers, report, upstream] = addrs[..] else {
+            unreachable!("five addresses were taken")
+        };
+        let pem = self.authority.issue(&plan.vm);
+        let file = |name: &str| self.dir.join(format!("{}-{name}", plan.vm));
+        let write = |path: &Path, text: &str| {
+            fs::write(path, text).expect("the folder of the test can be written");
+        };
+        write(&file("ca.pem"), &self.authority.pem());
+        write(&file("cert.pem"), &pem.cert);
+        write(&file("key.pem"), &pem.key);
+        let settings = format!(
+            "[node]\nvm = {:?}\nservice = {:?}\nzone = {:?}\nregion = \"loopback\"\nsite = {SITE:?}\n\
+             [listen]\ncallers = \"{callers}\"\nupstream = \"{outbound}\"\npeers = \"{peers}\"\n\
+             report = \"{report}\"\n\
+             [upstream]\naddr = \"{upstream}\"\nload_path = \"/stand/load\"\nload_poll_ms = 200\n\
+             [platform]\naddr = \"{}\"\npoll_ms = {}\ntimeout_ms = 500\nretention_s = {}\n\
+             [tls]\nca = {:?}\ncert = {:?}\nkey = {:?}\n{}",
+            plan.vm,
+            plan.service,
+            plan.zone,
+            self.log,
+            self.plan.poll.as_millis(),
+            self.plan.retention.as_secs(),
+            file("ca.pem"),
+            file("cert.pem"),
+            file("key.pem"),
+            self.plan.extra_settings,
+        );
+        write(&file("settings.toml"), &settings);
+        let mut args = vec![
+            "--work-us".to_owned(),
+            plan.behaviour.work_us.to_string(),
+            "--slots".to_owned(),
+            plan.behaviour.slots.to_string(),
+        ];
+        if let Some(next) = &plan.next {
+            args.extend(["--next".to_owned(), next.clone()]);
+        }
+        args.extend([outbound.to_string(), upstream.to_string()]);
+        let label = format!("{}-upstream", plan.vm);
+        let stand = Process::start(&self.dir, "stand-upstream", &label, &args);
+        let settings = file("settings.toml");
+        let daemon = self.start_daemon(&plan.vm, &settings);
+        let vm = plan.vm.clone();
+        let node = NodeHandle { vm, callers, peers, report, upstream, daemon, stand, settings };
+        self.nodes.push(node);
+    }
+
+    fn start_daemon(&self, vm: &str, settings: &Path) -> Process {
+        let args = [settings.display().to_string()];
+        Process::start(&self.dir, "poplartraild", vm, &args)
+    }
+
+    /// Starts the daemon of a node again, as after a replacement of its VM.
+    pub fn restart(&mut self, at: usize) {
+        let (vm, settings) = (self.nodes[at].vm.clone(), self.nodes[at].settings.clone());
+        self.nodes[at].daemon.kill();
+        self.nodes[at].daemon = self.start_daemon(&vm, &settings);
+    }
+
+    /// Publishes a document with the command-line tool and returns its exit code and output.
+    pub fn publish(&self, document: &str, text: &str, made_against: u64) -> (i32, String) {
+        let path = self.dir.join(format!("{document}-{made_against}.toml"));
+        fs::write(&path, text).expect("the folder of the test can be written");
+        let mut args = vec![
+            "publish".to_owned(),
+            "--log".to_owned(),
+            self.log.to_string(),
+            "--author".to_owned(),
+            "tester".to_owned(),
+            "--against".to_owned(),
+            made_against.to_string(),
+        ];
+        if document != "base" {
+            args.extend(["--site".to_owned(), document.to_owned()]);
+        }
+        args.push(path.display().to_string());
+        self.tool(&args)
+    }
+
+    /// Runs the command-line tool.
+    pub fn tool(&self, args: &[String]) -> (i32, String) {
+        static RUNS: AtomicU32 = AtomicU32::new(0);
+        let label = format!("tool-{}", RUNS.fetch_add(1, Ordering::Relaxed));
+        let mut tool = Process::start(&self.dir, "poplartrail", &label, args);
+        let code = tool.wait(START_TIMEOUT).unwrap_or(-1);
+        (code, tool.output())
+    }
+
+    /// A caller of the node at `at`.
+    pub fn caller(&self, at: usize) -> Caller {
+        Caller::new(self.nodes[at].callers)
+    }
+
+    /// What the node at `at` says of itself.
+    pub async fn status(&self, at: usize) -> Option<Value> {
+        self.get(self.nodes[at].report, "/status").await
+    }
+
+    /// What truly ran at the upstream of the node at `at`.
+    pub async fn counts(&self, at: usize) -> Counts {
+        self.get(self.nodes[at].upstream, "/stand/counts").await.unwrap_or_default()
+    }
+
+    /// Runs of `key` at all upstreams together.
+    pub async fn runs_of(&self, key: &str) -> u32 {
+        let mut runs = 0;
+        for at in 0..self.nodes.len() {
+            runs += self.counts(at).await.keys.get(key).copied().unwrap_or(0);
+        }
+        runs
+    }
+
+    /// Changes how the upstream of the node at `at` behaves.
+    pub async fn behave(&self, at: usize, behaviour: &Behaviour) {
+        let body = serde_json::to_vec(behaviour).expect("a behaviour is plain data");
+        self.post(self.nodes[at].upstream, "/stand/control", body).await;
+    }
+
+    /// Changes the faults of the log.
+    pub async fn break_log(&self, faults: &Faults) {
+        let body = serde_json::to_vec(faults).expect("faults are plain data");
+        self.post(self.log, "/control", body).await;
+    }
+
+    async fn post(&self, to: SocketAddr, path: &str, body: Vec<u8>) -> Reply {
+        let sent = Caller::new(to).send(&Call::post(path, body)).await;
+        sent.unwrap_or_else(|err| panic!("{to}{path} does not answer: {err}"))
+    }
+
+    async fn get<T: DeserializeOwned>(&self, from: SocketAddr, path: &str) -> Option<T> {
+        let reply = Caller::new(from).send(&Call::get(path)).await.ok()?;
+        serde_json::from_slice(&reply.body).ok()
+    }
+
+    /// Waits until `is_so` holds for the status of the node at `at`.
+    pub async fn await_status(&self, at: usize, what: &str, is_so: impl Fn(&Value) -> bool) {
+        let end = Instant::now() + START_TIMEOUT;
+        let mut last = None;
+        while Instant::now() < end {
+            last = self.status(at).await;
+            if last.as_ref().is_some_and(&is_so) {
+                return;
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        let output = self.nodes[at].daemon.output();
+        panic!("node {at} is not {what}; status {last:?}; its log:\n{output}");
+    }
+
+    /// Waits until every node serves.
+    pub async fn await_serving(&self) {
+        for at in 0..self.nodes.len() {
+            self.await_status(at, "serving", |status| status["phase"] == "serving").await;
+        }
+    }
+
+    /// Waits until every node knows the instances that it may call, and holds its key slots.
+    pub async fn await_routes(&self) {
+        for at in 0..self.nodes.len() {
+            let own = &self.plan.nodes[at.min(self.plan.nodes.len() - 1)];
+            let services: Vec<&String> =
+                [Some(&own.service), own.next.as_ref()].into_iter().flatten().collect();
+            let known = self.plan.nodes.iter().filter(|n| services.contains(&&n.service)).count();
+            self.await_status(at, "routing", |status| {
+                let len = status["instances"].as_array().map_or(0, Vec::len);
+                len + 1 >= known && status["slots"] != 0
+            })
+            .await;
+        }
+    }
+
+    async fn await_port(&self, addr: SocketAddr) {
+        let end = Instant::now() + START_TIMEOUT;
+        while Instant::now() < end {
+            if std::net::TcpStream::connect(addr).is_ok() {
+                return;
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        panic!("nothing serves {addr}");
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for node in &mut self.nodes {
+            node.daemon.kill();
+            node.stand.kill();
+        }
+        self.log_process.kill();
+        // What is left in the folder for temporary files does no harm.
+        drop(fs::remove_dir_all(&self.dir));
+    }
+}
--- a/crates/poplartrail-stand/src/lib.rs
+++ b/crates/poplartrail-stand/src/lib.rs
@@ -1,1 +1,12 @@
-//! placeholder
+//! Test scaffolding: stand-ins for what the product meets, and a fleet of real processes.
+//!
+//! [`log`] stands in for the platform's append-only log, [`upstream`] for an upstream,
+//! [`certificates`] for the operators' certificate authority. [`fleet`] starts the daemon and the
+//! stand-ins as separate processes on loopback and speaks to them as callers do.
+
+pub mod caller;
+pub mod certificates;
+pub mod fleet;
+pub mod log;
+mod serve;
+pub mod upstream;
--- /dev/null
+++ b/crates/poplartrail-stand/src/log/server.rs
@@ -0,0 +1,103 @@
+//! The HTTP side of the log.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use http::Response;
+use poplartrail_wire::generated::LogRead;
+use prost::Message;
+use serde_json::json;
+use tokio::time::sleep;
+use volo_http::body::Body;
+
+use crate::{
+    log::{Faults, Streams},
+    serve::{Answer, Whole, response, serve},
+};
+
+/// Time for which a request to a log that is down stays without an answer.
+const SILENCE: Duration = Duration::from_secs(60);
+
+#[derive(Clone)]
+struct Log {
+    state: Arc<Mutex<State>>,
+}
+
+struct State {
+    streams: Streams,
+    faults: Faults,
+    reads: u64,
+}
+
+/// Serves a log at `at` that keeps records for `retention`.
+pub fn run(at: SocketAddr, retention: Duration) -> std::io::Result<()> {
+    let state = State { streams: Streams::new(retention), faults: Faults::default(), reads: 0 };
+    serve(at, Log { state: Arc::new(Mutex::new(state)) })
+}
+
+impl Log {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn control(&self, body: &[u8]) -> Response<Body> {
+        match serde_json::from_slice(body) {
+            Ok(faults) => {
+                self.lock().faults = faults;
+                response(200, "done\n")
+            }
+            Err(err) => response(400, err.to_string()),
+        }
+    }
+
+    async fn append(&self, name: &str, body: bytes::Bytes) -> Response<Body> {
+        let (appended, is_lost) = {
+            let mut state = self.lock();
+            let appended = state.streams.append(name, body);
+            let is_lost = state.faults.lost_answers > 0;
+            state.faults.lost_answers = state.faults.lost_answers.saturating_sub(1);
+            (appended, is_lost)
+        };
+        if is_lost {
+            sleep(SILENCE).await;
+        }
+        response(200, appended.encode_to_vec())
+    }
+
+    fn read(&self, body: &[u8]) -> Response<Body> {
+        let Ok(read) = LogRead::decode(body) else { return response(400, "no read\n") };
+        let mut state = self.lock();
+        state.reads += 1;
+        response(200, state.streams.read(&read.cursors).encode_to_vec())
+    }
+
+    fn counts(&self) -> Response<Body> {
+        let state = self.lock();
+        let counts = json!({"reads": state.reads, "config": state.streams.appended("config")});
+        response(200, counts.to_string())
+    }
+}
+
+impl Answer for Log {
+    async fn answer(&self, request: Whole) -> Response<Body> {
+        let path = request.parts.uri.path().to_owned();
+        if path == "/control" {
+            return self.control(&request.body);
+        }
+        let faults = self.lock().faults.clone();
+        sleep(Duration::from_millis(faults.delay_ms)).await;
+        if faults.is_down {
+            sleep(SILENCE).await;
+            return response(503, "down\n");
+        }
+        match path.strip_prefix("/v1/streams/") {
+            Some(name) => self.append(name, request.body).await,
+            None if path == "/v1/read" => self.read(&request.body),
+            None if path == "/counts" => self.counts(),
+            None => response(404, "no such path\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-stand/src/upstream/server.rs
@@ -0,0 +1,198 @@
+//! The HTTP side of the upstream.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Response};
+use serde_json::json;
+use tokio::{
+    sync::Semaphore,
+    time::{Instant, sleep, sleep_until},
+};
+use volo_http::body::Body;
+
+use crate::{
+    caller::{Call, Caller},
+    serve::{Answer, Whole, response, serve},
+    upstream::{Behaviour, Counts},
+};
+
+/// Time for which a call whose answer is lost stays without one.
+const SILENCE: Duration = Duration::from_secs(60);
+
+/// Parameters of an upstream.
+#[derive(Debug, Clone)]
+pub struct UpstreamOptions {
+    /// Address that it serves.
+    pub listen: SocketAddr,
+    /// Address of its node for outbound calls.
+    pub node: SocketAddr,
+    /// The service that it calls for each call, if any.
+    pub next: Option<String>,
+    /// How it behaves at first.
+    pub behaviour: Behaviour,
+}
+
+/// Serves an upstream until a signal ends the process.
+pub fn run(options: UpstreamOptions) -> std::io::Result<()> {
+    let slots = options.behaviour.slots;
+    let upstream = Upstream {
+        state: Arc::new(Mutex::new(State {
+            behaviour: options.behaviour.clone(),
+            counts: Counts::default(),
+        })),
+        slots: Arc::new(Semaphore::new(slots)),
+        node: Caller::new(options.node),
+        next: options.next.map(Arc::from),
+    };
+    serve(options.listen, upstream)
+}
+
+struct State {
+    behaviour: Behaviour,
+    counts: Counts,
+}
+
+#[derive(Clone)]
+struct Upstream {
+    state: Arc<Mutex<State>>,
+    slots: Arc<Semaphore>,
+    node: Caller,
+    next: Option<Arc<str>>,
+}
+
+/// Counts a call as cancelled unless it ends.
+struct CancelGuard<'a> {
+    upstream: &'a Upstream,
+    has_ended: bool,
+}
+
+impl Drop for CancelGuard<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.upstream.lock().counts.cancelled += 1;
+        }
+    }
+}
+
+impl Upstream {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn control(&self, body: &[u8]) -> Response<Body> {
+        match serde_json::from_slice::<Behaviour>(body) {
+            Ok(behaviour) => {
+                self.lock().behaviour = behaviour;
+                response(200, "done\n")
+            }
+            Err(err) => response(400, err.to_string()),
+        }
+    }
+
+    fn load(&self) -> Response<Body> {
+        let behaviour = &self.lock().behaviour;
+        let slots = behaviour.stated_slots.unwrap_or(behaviour.slots);
+        response(200, json!({"slots": slots}).to_string())
+    }
+
+    fn counts(&self) -> Response<Body> {
+        let counts = serde_json::to_string(&self.lock().counts).unwrap_or_default();
+        response(200, counts)
+    }
+
+    async fn work(&self, request: Whole) -> Response<Body> {
+        let headers = &request.parts.headers;
+        let start = Instant::now();
+        self.lock().counts.received += 1;
+        let mut guard = CancelGuard { upstream: self, has_ended: false };
+        if let Some(status) = self.lock().behaviour.status {
+            guard.has_ended = true;
+            return response(status, "as told\n");
+        }
+        let Ok(_slot) = self.slots.acquire().await else { return response(500, "closed\n") };
+        let end = start + deadline(headers);
+        let work = Duration::from_micros(self.lock().behaviour.work_us);
+        if Instant::now() + work > end {
+            guard.has_ended = true;
+            return response(504, "too late\n");
+        }
+        sleep_until(Instant::now() + work).await;
+        let is_lost = self.count(headers);
+        let below = self.call_next(&request).await;
+        guard.has_ended = true;
+        if is_lost {
+            sleep(SILENCE).await;
+        }
+        self.answer_whole(&request, below)
+    }
+
+    /// Counts a run, and tells whether its answer is to be lost.
+    fn count(&self, headers: &HeaderMap) -> bool {
+        let mut state = self.lock();
+        state.counts.ran += 1;
+        if let Some(key) = text(headers, "idempotency-key") {
+            *state.counts.keys.entry(key.to_owned()).or_default() += 1;
+        }
+        if let Some(rank) = text(headers, "poplartrail-rank") {
+            *state.counts.ranks.entry(rank.to_owned()).or_default() += 1;
+        }
+        let is_lost = state.behaviour.lost_answers > 0;
+        state.behaviour.lost_answers = state.behaviour.lost_answers.saturating_sub(1);
+        is_lost
+    }
+
+    /// Calls the next service, with the context that came with the call.
+    async fn call_next(&self, request: &Whole) -> Option<(u16, Bytes)> {
+        let next = self.next.as_ref()?;
+        let headers = &request.parts.headers;
+        let mut call = Call::get(request.parts.uri.path()).field("poplartrail-service", &**next);
+        if let Some(context) = text(headers, "poplartrail-context") {
+            call = call.field("poplartrail-context", context);
+        }
+        match self.node.send(&call).await {
+            Ok(reply) => Some((reply.status, reply.body)),
+            Err(_) => Some((502, Bytes::from_static(b"no answer from below"))),
+        }
+    }
+
+    /// Answers with the request's own body, and what came from below.
+    fn answer_whole(&self, request: &Whole, below: Option<(u16, Bytes)>) -> Response<Body> {
+        let (status, below) = below.unwrap_or((200, Bytes::new()));
+        let status = if status == 200 { 200 } else { 502 };
+        let mut body = Vec::with_capacity(request.body.len() + below.len() + 64);
+        body.extend_from_slice(request.parts.uri.path().as_bytes());
+        body.push(b'\n');
+        body.extend_from_slice(&request.body);
+        body.extend_from_slice(&below);
+        let mut response = response(status, body);
+        if let Some(mark) = request.parts.headers.get("x-mark") {
+            response.headers_mut().insert("x-mark", mark.clone());
+        }
+        response
+    }
+}
+
+impl Answer for Upstream {
+    async fn answer(&self, request: Whole) -> Response<Body> {
+        match request.parts.uri.path() {
+            "/stand/control" => self.control(&request.body),
+            "/stand/load" => self.load(),
+            "/stand/counts" => self.counts(),
+            _ => self.work(request).await,
+        }
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn deadline(headers: &HeaderMap) -> Duration {
+    let millis = text(headers, "poplartrail-deadline-ms").and_then(|text| text.parse().ok());
+    millis.map_or(Duration::from_secs(60), Duration::from_millis)
+}
--- a/crates/poplartrail-wire/src/convert/config.rs
+++ b/crates/poplartrail-wire/src/convert/config.rs
@@ -41,7 +41,7 @@
 fn change_from(change: wire::Change) -> Result<Change, WireError> {
     Ok(Change {
         id: ChangeId(convert::id_from(&change.id, "change")?),
-        document: id_from(change.document.ok_or(WireError::Missing("a document"))?)?,
+        document: id_from(&change.document.ok_or(WireError::Missing("a document"))?)?,
         made_against: change.made_against,
         author: OperatorName::new(&change.author)?,
         text: Arc::from(change.text),
@@ -65,7 +65,7 @@
 
 pub(crate) fn snapshot_from(snapshot: wire::ConfigSnapshot) -> Result<Snapshot, WireError> {
     let documents = snapshot.documents.into_iter().map(|document| {
-        let id = id_from(document.id.ok_or(WireError::Missing("a document"))?)?;
+        let id = id_from(&document.id.ok_or(WireError::Missing("a document"))?)?;
         let change = ChangeId(convert::id_from(&document.change, "change")?);
         let author = OperatorName::new(&document.author)?;
         let text = Arc::from(document.text);
@@ -85,7 +85,7 @@
     }
 }
 
-fn id_from(id: wire::DocumentId) -> Result<DocumentId, WireError> {
+fn id_from(id: &wire::DocumentId) -> Result<DocumentId, WireError> {
     if id.site.is_empty() {
         return Ok(DocumentId::Base);
     }
--- a/crates/poplartrail-wire/src/convert/reply.rs
+++ b/crates/poplartrail-wire/src/convert/reply.rs
@@ -114,7 +114,7 @@
 }
 
 /// The wire number of a kind: its position plus one, so that 0 stays for "not set".
-fn number_of<T: PartialEq>(all: &[T], kind: T) -> u32 {
+fn number_of<T: PartialEq + Copy>(all: &[T], kind: T) -> u32 {
     all.iter().position(|k| *k == kind).map_or(0, |at| at as u32 + 1)
 }
 
