Measure the decisions in virtual time

Cause: the decisions under load cannot be judged without the same seeded runs for every variant. Change: a lab that drives whole nodes of the core against a fake upstream (slots, queue, exponential service times) and random callers, with counts only and no clock.

--- /dev/null
+++ b/crates/poplartrail-bench/src/lab/schedule.rs
@@ -0,0 +1,52 @@
+//! What happens next.
+
+use std::{cmp::Ordering, collections::BinaryHeap};
+
+use poplartrail_core::time::Time;
+
+struct Entry<E> {
+    at: Time,
+    turn: u64,
+    event: E,
+}
+
+impl<E> PartialEq for Entry<E> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl<E> Eq for Entry<E> {}
+
+impl<E> PartialOrd for Entry<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for Entry<E> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.turn).cmp(&(self.at, self.turn))
+    }
+}
+
+/// Events in the order of their time; those of the same time in the order of their planning.
+pub(crate) struct Schedule<E> {
+    heap: BinaryHeap<Entry<E>>,
+    turn: u64,
+}
+
+impl<E> Schedule<E> {
+    pub(crate) fn new() -> Self {
+        Self { heap: BinaryHeap::new(), turn: 0 }
+    }
+
+    pub(crate) fn plan(&mut self, at: Time, event: E) {
+        self.turn += 1;
+        self.heap.push(Entry { at, turn: self.turn, event });
+    }
+
+    pub(crate) fn next(&mut self) -> Option<(Time, E)> {
+        self.heap.pop().map(|entry| (entry.at, entry.event))
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-bench/src/lab/tally.rs
@@ -0,0 +1,112 @@
+//! What is counted.
+
+use std::collections::{HashMap, HashSet};
+
+use poplartrail_core::time::Time;
+
+/// Counts of one rank within the measured time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RankTally {
+    /// Requests that callers sent.
+    pub offered: u64,
+    /// Requests that were answered whole and in time.
+    pub whole: u64,
+    /// Requests that were refused before they ran.
+    pub not_run: u64,
+    /// Requests that ran and failed, or whose outcome is not known.
+    pub failed: u64,
+}
+
+/// Everything that a run counts.
+#[derive(Debug, Default)]
+pub struct Tally {
+    /// Counts by rank.
+    pub ranks: Vec<RankTally>,
+    /// Whole requests by second of virtual time.
+    pub whole_by_second: Vec<u64>,
+    /// Slot time of all calls, in seconds.
+    pub slot_time: f64,
+    /// Slot time of calls whose request failed, in seconds.
+    pub wasted: f64,
+    /// Repeated sends of nodes.
+    pub retries: u64,
+    /// Largest number of repeated sends for one request.
+    pub max_retries: u32,
+    /// Urgent calls refused by a gate in an interval in which it admitted less urgent ones.
+    pub order_violations: u64,
+    /// Urgent calls refused by gates for overload.
+    pub urgent_shed: u64,
+    pub(crate) slot_time_of: HashMap<u128, f64>,
+    pub(crate) retries_of: HashMap<u128, u32>,
+    pub(crate) admitted_low: HashSet<(usize, u64)>,
+    pub(crate) shed_urgent: Vec<(usize, u64)>,
+}
+
+impl Tally {
+    pub(crate) fn new(ranks: usize) -> Self {
+        Self { ranks: vec![RankTally::default(); ranks], ..Self::default() }
+    }
+
+    pub(crate) fn note_whole(&mut self, at: Time) {
+        let second = at.as_secs_f64() as usize;
+        if self.whole_by_second.len() <= second {
+            self.whole_by_second.resize(second + 1, 0);
+        }
+        self.whole_by_second[second] += 1;
+    }
+
+    pub(crate) fn note_slot_time(&mut self, request: u128, seconds: f64) {
+        self.slot_time += seconds;
+        *self.slot_time_of.entry(request).or_default() += seconds;
+    }
+
+    pub(crate) fn note_retry(&mut self, request: u128) {
+        self.retries += 1;
+        let count = self.retries_of.entry(request).or_default();
+        *count += 1;
+        self.max_retries = self.max_retries.max(*count);
+    }
+
+    pub(crate) fn end_request(&mut self, request: u128, is_whole: bool) {
+        let spent = self.slot_time_of.remove(&request).unwrap_or(0.0);
+        if !is_whole {
+            self.wasted += spent;
+        }
+    }
+
+    pub(crate) fn close(&mut self) {
+        let low = &self.admitted_low;
+        self.urgent_shed = self.shed_urgent.len() as u64;
+        self.order_violations =
+            self.shed_urgent.iter().filter(|at| low.contains(at)).count() as u64;
+    }
+
+    /// Whole requests of all ranks.
+    pub fn whole(&self) -> u64 {
+        self.ranks.iter().map(|rank| rank.whole).sum()
+    }
+
+    /// Requests of all ranks.
+    pub fn offered(&self) -> u64 {
+        self.ranks.iter().map(|rank| rank.offered).sum()
+    }
+
+    /// Share of slot time that was spent on requests that failed.
+    pub fn wasted_share(&self) -> f64 {
+        if self.slot_time > 0.0 { self.wasted / self.slot_time } else { 0.0 }
+    }
+
+    /// Share of a rank's requests that were whole.
+    pub fn kept(&self, rank: usize) -> f64 {
+        let RankTally { offered, whole, .. } = self.ranks[rank];
+        if offered == 0 { 1.0 } else { whole as f64 / offered as f64 }
+    }
+
+    /// Seconds from `end` until the whole requests of two seconds in a row reach `level`.
+    pub fn recovery(&self, end: usize, level: f64) -> Option<usize> {
+        let reaches =
+            |at: usize| self.whole_by_second.get(at).is_some_and(|count| *count as f64 >= level);
+        let last = self.whole_by_second.len();
+        (end..last.saturating_sub(2)).find(|&at| reaches(at) && reaches(at + 1)).map(|at| at - end)
+    }
+}
--- /dev/null
+++ b/crates/poplartrail-bench/src/lab/world.rs
@@ -0,0 +1,751 @@
+//! The run itself.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use poplartrail_core::{
+    call::{Answer, Effect, Outcome, Payload, Refusal, RequestId},
+    config::{Document, DocumentCheck, DocumentId},
+    engine::{
+        Arrival, CallKey, CallsOptions, EventKind, Input, Keeper, Mechanisms, Node, NodeOptions,
+        Origin, Output, PeerOutcome, PolicySource, Port, Ticket, UpstreamFault,
+    },
+    gate::{Gradient, Law},
+    member::Member,
+    names::{ServiceName, VmName, ZoneName},
+    policy::{Policy, Ranks, ServiceRule},
+    route::{GateReport, Standing},
+    time::{Time, WallTime},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::lab::{
+    Graph, Load, Repeats, Tally,
+    fake_upstream::{FakeUpstream, Job},
+    schedule::Schedule,
+};
+
+/// Wall-clock time at the start of a run.
+const WALL_START: WallTime = WallTime::from_millis(1_800_000_000_000);
+/// First limit of a gate that knows nothing of its upstream.
+const FIRST_LIMIT: usize = 8;
+/// Time after which a node notices that a killed one is gone.
+const KILL_NOTICE: Duration = Duration::from_millis(5);
+
+/// Something that goes wrong.
+#[derive(Debug, Clone)]
+pub struct Fault {
+    /// When.
+    pub at: Time,
+    /// What.
+    pub kind: FaultKind,
+}
+
+/// Kinds of faults.
+#[derive(Debug, Clone)]
+pub enum FaultKind {
+    /// The upstreams of a service work at this multiple of their time.
+    Slow {
+        /// Position of the service.
+        service: usize,
+        /// Factor on the service time.
+        factor: f64,
+    },
+    /// Answers of a service's upstreams are lost with this probability.
+    Lose {
+        /// Position of the service.
+        service: usize,
+        /// Probability.
+        loss: f64,
+    },
+    /// An upstream is killed with everything in it, and refuses connections.
+    Kill {
+        /// Position of the service.
+        service: usize,
+        /// Which of its instances.
+        instance: usize,
+    },
+    /// A killed upstream is back, empty.
+    Return {
+        /// Position of the service.
+        service: usize,
+        /// Which of its instances.
+        instance: usize,
+    },
+    /// All messages to one instance vanish on open connections until each is replaced.
+    Silence {
+        /// Position of the service.
+        service: usize,
+        /// Which of its instances.
+        instance: usize,
+    },
+    /// The load endpoints of a service state this many slots from now on.
+    State {
+        /// Position of the service.
+        service: usize,
+        /// Slots.
+        slots: u32,
+    },
+}
+
+enum Event {
+    Send { load: usize, request: u128, tries: u32 },
+    Next { load: usize },
+    Input { node: usize, input: Box<Input> },
+    Wake { node: usize },
+    WorkDone { node: usize, call: CallKey },
+    Fault(usize),
+}
+
+/// Whoever waits for a ticket.
+enum Waiter {
+    Caller { load: usize, request: u128, tries: u32, entered: Time },
+    Upstream { node: usize, call: CallKey },
+    Peer { node: usize, call: CallKey, attempt: u32 },
+}
+
+struct Place {
+    node: Node,
+    upstream: FakeUpstream,
+    service: usize,
+    wake_at: Time,
+    silent_from: Vec<bool>,
+}
+
+/// Parameters of a run.
+pub struct LabBuilder {
+    graph: Graph,
+    ranks: Ranks,
+    loads: Vec<Load>,
+    faults: Vec<Fault>,
+    law: Option<Law>,
+    has_shares: bool,
+    has_deadlines: bool,
+    mechanisms: Mechanisms,
+    measured_from: Time,
+    until: Time,
+    seed: u64,
+    bounds: poplartrail_core::policy::Bounds,
+}
+
+impl LabBuilder {
+    /// Sets the law of the limits; `None` admits everything.
+    #[must_use]
+    pub fn law(mut self, law: impl Into<Option<Law>>) -> Self {
+        self.law = law.into();
+        self
+    }
+
+    /// Sets whether gates divide their capacity among the ranks.
+    #[must_use]
+    pub fn has_shares(mut self, has_shares: bool) -> Self {
+        self.has_shares = has_shares;
+        self
+    }
+
+    /// Sets whether calls that cannot finish in time are refused.
+    #[must_use]
+    pub fn has_deadlines(mut self, has_deadlines: bool) -> Self {
+        self.has_deadlines = has_deadlines;
+        self
+    }
+
+    /// Sets the mechanisms that act across nodes.
+    #[must_use]
+    pub fn mechanisms(mut self, mechanisms: Mechanisms) -> Self {
+        self.mechanisms = mechanisms;
+        self
+    }
+
+    /// Adds a stream of requests.
+    #[must_use]
+    pub fn load(mut self, load: Load) -> Self {
+        self.loads.push(load);
+        self
+    }
+
+    /// Adds a fault.
+    #[must_use]
+    pub fn fault(mut self, at: Time, kind: FaultKind) -> Self {
+        self.faults.push(Fault { at, kind });
+        self
+    }
+
+    /// Sets the time from which requests are counted, and the end.
+    #[must_use]
+    pub fn measured(mut self, from: Time, until: Time) -> Self {
+        self.measured_from = from;
+        self.until = until;
+        self
+    }
+
+    /// Sets the seed of all random numbers.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Sets the bounds of the policy.
+    #[must_use]
+    pub fn bounds(mut self, bounds: poplartrail_core::policy::Bounds) -> Self {
+        self.bounds = bounds;
+        self
+    }
+
+    /// Runs to the end and returns the counts.
+    pub fn run(self) -> Tally {
+        Lab::new(self).run()
+    }
+}
+
+/// A run in progress.
+pub struct Lab {
+    graph: Graph,
+    ranks: Ranks,
+    loads: Vec<Load>,
+    faults: Vec<Fault>,
+    places: Vec<Place>,
+    /// First place of each service.
+    firsts: Vec<usize>,
+    schedule: Schedule<Event>,
+    waiters: HashMap<Ticket, Waiter>,
+    /// Tickets of calls between nodes, by their sender.
+    sent: HashMap<(usize, CallKey, u32), (usize, Ticket)>,
+    next_ticket: u64,
+    random: SmallRng,
+    tally: Tally,
+    now: Time,
+    measured_from: Time,
+    until: Time,
+    out: Vec<Output>,
+}
+
+struct NoDocuments;
+
+impl DocumentCheck for NoDocuments {
+    fn check(
+        &self,
+        _before: &std::collections::BTreeMap<DocumentId, Document>,
+        _after: &std::collections::BTreeMap<DocumentId, Document>,
+    ) -> Result<(), Arc<str>> {
+        Ok(())
+    }
+}
+
+impl PolicySource for NoDocuments {
+    fn policy(&self, _keeper: &Keeper) -> Option<Policy> {
+        None
+    }
+}
+
+fn service_name(service: usize) -> ServiceName {
+    ServiceName::new(format!("service-{service}")).expect("the name is valid")
+}
+
+impl Lab {
+    /// A run of `graph` under `ranks`, with every mechanism on.
+    pub fn builder(graph: Graph, ranks: Ranks) -> LabBuilder {
+        LabBuilder {
+            graph,
+            ranks,
+            loads: Vec::new(),
+            faults: Vec::new(),
+            law: Some(Law::Gradient(Gradient::new(FIRST_LIMIT))),
+            has_shares: true,
+            has_deadlines: true,
+            mechanisms: Mechanisms::default(),
+            measured_from: Time::ZERO,
+            until: Time::from_millis(10_000),
+            seed: 1,
+            bounds: poplartrail_core::policy::Bounds::default(),
+        }
+    }
+
+    fn new(options: LabBuilder) -> Self {
+        let policy = Arc::new(policy_of(&options));
+        let mut lab = Self {
+            places: Vec::new(),
+            firsts: Vec::new(),
+            schedule: Schedule::new(),
+            waiters: HashMap::new(),
+            sent: HashMap::new(),
+            next_ticket: 0,
+            random: SmallRng::seed_from_u64(options.seed),
+            tally: Tally::new(options.ranks.len()),
+            now: Time::ZERO,
+            measured_from: options.measured_from,
+            until: options.until,
+            out: Vec::new(),
+            graph: options.graph.clone(),
+            ranks: options.ranks.clone(),
+            loads: options.loads.clone(),
+            faults: options.faults.clone(),
+        };
+        for service in 0..options.graph.services.len() {
+            lab.firsts.push(lab.places.len());
+            for instance in 0..options.graph.services[service].instances {
+                lab.add_place(&options, &policy, service, instance);
+            }
+        }
+        lab.introduce_members();
+        for (load, stream) in options.loads.iter().enumerate() {
+            lab.schedule.plan(stream.from, Event::Next { load });
+        }
+        for (at, fault) in options.faults.iter().enumerate() {
+            lab.schedule.plan(fault.at, Event::Fault(at));
+        }
+        lab
+    }
+
+    fn add_place(
+        &mut self,
+        options: &LabBuilder,
+        policy: &Arc<Policy>,
+        service: usize,
+        instance: usize,
+    ) {
+        let at = self.places.len();
+        let member = Member {
+            vm: VmName::new(format!("vm-{at}")).expect("the name is valid"),
+            incarnation: 1,
+            service: service_name(service),
+            zone: ZoneName::new(format!("zone-{}", instance % 3)).expect("the name is valid"),
+            addr: SocketAddr::from(([127, 0, 0, 1], at as u16 + 1)),
+            report: SocketAddr::from(([127, 0, 0, 1], at as u16 + 1)),
+        };
+        let calls = CallsOptions::new()
+            .law(options.law.clone())
+            .has_shares(options.has_shares)
+            .has_deadlines(options.has_deadlines)
+            .mechanisms(options.mechanisms)
+            .max_calls(1_000_000)
+            .seed(options.seed ^ (at as u64) << 20);
+        let mut node = Node::new(NodeOptions {
+            me: member,
+            first_policy: policy.clone(),
+            calls,
+            retention: Duration::from_secs(3600),
+            seeds: Vec::new(),
+            source: Box::new(NoDocuments),
+        });
+        node.serve();
+        let upstream = FakeUpstream::new(self.graph.services[service].slots);
+        let silent_from = Vec::new();
+        self.places.push(Place { node, upstream, service, wake_at: Time::ZERO, silent_from });
+        self.schedule.plan(Time::ZERO, Event::Wake { node: at });
+    }
+
+    fn introduce_members(&mut self) {
+        let members: Vec<Member> = self.places.iter().map(|p| p.node.me().clone()).collect();
+        let count = members.len();
+        for (at, place) in self.places.iter_mut().enumerate() {
+            place.silent_from = vec![false; count];
+            for (other, member) in members.iter().enumerate() {
+                if other != at {
+                    place.node.add_instance(Time::ZERO, member, Standing::Serving);
+                }
+            }
+        }
+    }
+
+    fn run(mut self) -> Tally {
+        while let Some((at, event)) = self.schedule.next() {
+            if at > self.until {
+                break;
+            }
+            self.now = at;
+            self.take(event);
+        }
+        self.tally.close();
+        self.tally
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Next { load } => self.next_request(load),
+            Event::Send { load, request, tries } => self.enter(load, request, tries),
+            Event::Input { node, input } => self.handle(node, *input),
+            Event::Wake { node } => {
+                if self.places[node].wake_at <= self.now {
+                    self.places[node].wake_at = Time::from_nanos(u64::MAX);
+                    self.handle(node, Input::Wake);
+                }
+            }
+            Event::WorkDone { node, call } => self.work_done(node, call),
+            Event::Fault(at) => self.strike(at),
+        }
+    }
+
+    fn is_measured(&self, entered: Time) -> bool {
+        entered >= self.measured_from
+    }
+
+    fn next_request(&mut self, load: usize) {
+        let stream = &self.loads[load];
+        if self.now >= stream.until || stream.rate <= 0.0 {
+            return;
+        }
+        let gap = -(1.0 - self.random.random::<f64>()).ln() / stream.rate;
+        let request = self.random.random();
+        self.schedule.plan(self.now + Duration::from_secs_f64(gap), Event::Next { load });
+        if self.is_measured(self.now) {
+            self.tally.ranks[self.loads[load].kind.rank].offered += 1;
+        }
+        self.enter(load, request, 0);
+    }
+
+    fn enter(&mut self, load: usize, request: u128, tries: u32) {
+        let kind = self.loads[load].kind.clone();
+        let rank = self.ranks.iter().nth(kind.rank).expect("the load names a rank");
+        let (name, target) = (rank.name.clone(), rank.target);
+        let node = self.random.random_range(0..self.graph.services[0].instances);
+        let entered = self.now;
+        let waiter = Waiter::Caller { load, request, tries, entered };
+        let ticket = self.ticket(Port::Ingress, waiter);
+        let arrival = Arrival {
+            ticket,
+            origin: Origin::Caller,
+            service: service_name(0),
+            request: RequestId(request),
+            rank: Some(name),
+            deadline: Some(self.now + target),
+            effect: Effect::Idempotent,
+            payload: depth_payload(kind.depth - 1),
+        };
+        self.handle(node, Input::Arrive(arrival));
+    }
+
+    fn ticket(&mut self, port: Port, waiter: Waiter) -> Ticket {
+        self.next_ticket += 1;
+        let ticket = Ticket { port, id: self.next_ticket };
+        self.waiters.insert(ticket, waiter);
+        ticket
+    }
+
+    fn handle(&mut self, node: usize, input: Input) {
+        let mut out = std::mem::take(&mut self.out);
+        let wall = WALL_START + Duration::from_nanos(self.now.as_nanos());
+        let place = &mut self.places[node];
+        place.node.handle(self.now, wall, input, &mut out);
+        let wake = place.node.next_wake().max(self.now + Duration::from_nanos(1));
+        if wake < place.wake_at || place.wake_at <= self.now {
+            place.wake_at = wake;
+            self.schedule.plan(wake, Event::Wake { node });
+        }
+        for output in out.drain(..) {
+            self.carry(node, output);
+        }
+        self.out = out;
+    }
+
+    fn later(&mut self, wait: Duration, node: usize, input: Input) {
+        let event = Event::Input { node, input: Box::new(input) };
+        self.schedule.plan(self.now + wait, event);
+    }
+
+    fn carry(&mut self, node: usize, output: Output) {
+        match output {
+            Output::Reply { ticket, outcome, report } => {
+                self.reply(node, ticket, outcome, report);
+            }
+            Output::Dispatch { call, context, payload } => {
+                let rank = self.ranks.find(&context.rank).expect("the rank is listed").index();
+                let below = payload.body.len();
+                let request = context.request.0;
+                let is_urgent = self.ranks.iter().nth(rank).is_some_and(|r| r.is_urgent);
+                if !is_urgent {
+                    let interval = self.places[node].node.calls().gate().interval_number();
+                    self.tally.admitted_low.insert((node, interval));
+                }
+                let job = Job { request, rank, below, since: self.now };
+                self.dispatch(node, call, job);
+            }
+            Output::CancelDispatch { call } => self.cancel_dispatch(node, call),
+            Output::Send { call, attempt, to, context, budget, payload, service, .. } => {
+                let other = usize::from(to.port()) - 1;
+                let waiter = Waiter::Peer { node, call, attempt };
+                let ticket = self.ticket(Port::Peers, waiter);
+                self.sent.insert((node, call, attempt), (other, ticket));
+                if self.places[node].silent_from[other] {
+                    return;
+                }
+                let depth = context.depth;
+                let arrival = Arrival {
+                    ticket,
+                    origin: Origin::Peer { budget, depth },
+                    service,
+                    request: context.request,
+                    rank: Some(context.rank),
+                    deadline: Some(context.deadline),
+                    effect: context.effect,
+                    payload,
+                };
+                self.later(self.graph.hop, other, Input::Arrive(arrival));
+            }
+            Output::CancelSend { call, attempt } => {
+                if let Some((other, ticket)) = self.sent.remove(&(node, call, attempt)) {
+                    self.waiters.remove(&ticket);
+                    self.later(self.graph.hop, other, Input::CallerLeft(ticket));
+                }
+            }
+            Output::Reconnect { to, .. } => {
+                let other = usize::from(to.port()) - 1;
+                self.places[node].silent_from[other] = false;
+            }
+            Output::Note(event) => self.note(node, &event),
+            _ => {}
+        }
+    }
+
+    fn note(&mut self, _node: usize, event: &poplartrail_core::engine::Event) {
+        if let (EventKind::Retried { .. }, Some(request)) = (&event.kind, event.request) {
+            self.tally.note_retry(request.0);
+        }
+    }
+
+    fn reply(&mut self, node: usize, ticket: Ticket, outcome: Outcome, report: GateReport) {
+        self.note_shed(node, ticket, &outcome);
+        match self.waiters.remove(&ticket) {
+            Some(Waiter::Caller { load, request, tries, entered }) => {
+                self.end_request(load, request, tries, entered, &outcome);
+            }
+            Some(Waiter::Upstream { node, call }) => {
+                let is_whole = matches!(&outcome, Outcome::Answered(answer) if answer.is_success());
+                self.answer(node, call, if is_whole { 200 } else { 502 });
+            }
+            Some(Waiter::Peer { node: from, call, attempt }) => {
+                self.sent.remove(&(from, call, attempt));
+                if self.places[from].silent_from[node] {
+                    return;
+                }
+                let result = Ok((peer_outcome(outcome), report));
+                self.later(self.graph.hop, from, Input::PeerDone { call, attempt, result });
+            }
+            None => {}
+        }
+    }
+
+    /// Notes an urgent call that this node's own gate refused for overload.
+    fn note_shed(&mut self, node: usize, ticket: Ticket, outcome: &Outcome) {
+        let Outcome::NotRun(not_run) = outcome else { return };
+        let is_shed = matches!(not_run.reason(), Refusal::Overload | Refusal::QueueFull);
+        let place = &self.places[node];
+        if !is_shed || not_run.by() != &place.node.me().vm {
+            return;
+        }
+        let rank = match self.waiters.get(&ticket) {
+            Some(Waiter::Caller { load, .. }) => self.loads[*load].kind.rank,
+            Some(Waiter::Peer { node: from, call, .. }) => {
+                match self.places[*from].upstream.job(*call) {
+                    Some(job) => job.rank,
+                    None => return,
+                }
+            }
+            _ => return,
+        };
+        let rank_index = poplartrail_core::policy::RankIndex(rank as u8);
+        let is_urgent = self.ranks.get(rank_index).is_urgent;
+        // A refusal on behalf of a deeper gate says nothing about this one's order.
+        let gate = place.node.calls().gate();
+        let is_own = gate.share(rank_index) < poplartrail_core::call::Share::FULL
+            || not_run.reason() == Refusal::QueueFull;
+        if is_urgent && is_own {
+            self.tally.shed_urgent.push((node, gate.interval_number()));
+        }
+    }
+
+    fn end_request(
+        &mut self,
+        load: usize,
+        request: u128,
+        tries: u32,
+        entered: Time,
+        outcome: &Outcome,
+    ) {
+        let stream = &self.loads[load];
+        let rank = stream.kind.rank;
+        let target = self.ranks.iter().nth(rank).expect("the load names a rank").target;
+        let is_answered = matches!(outcome, Outcome::Answered(a) if a.is_success());
+        let is_whole = is_answered && self.now.since(entered) <= target;
+        let (max_tries, is_same) = match stream.repeats {
+            Repeats::None => (0, false),
+            Repeats::Fresh(max) => (max, false),
+            Repeats::Same(max) => (max, true),
+        };
+        let is_repeated = !is_whole && tries < max_tries;
+        let pause = stream.pause;
+        let is_counted = self.is_measured(entered);
+        if is_whole {
+            self.tally.note_whole(self.now);
+        }
+        if is_counted && !is_repeated {
+            let counts = &mut self.tally.ranks[rank];
+            match outcome {
+                _ if is_whole => counts.whole += 1,
+                Outcome::NotRun(_) => counts.not_run += 1,
+                _ => counts.failed += 1,
+            }
+        }
+        self.tally.end_request(request, is_whole);
+        if is_repeated {
+            let request = if is_same { request } else { self.random.random() };
+            let again = Event::Send { load, request, tries: tries + 1 };
+            self.schedule.plan(self.now + pause, again);
+        }
+    }
+
+    fn dispatch(&mut self, node: usize, call: CallKey, job: Job) {
+        if self.places[node].upstream.is_dead {
+            let result = Err(UpstreamFault::NotConnected);
+            return self.later(
+                Duration::from_micros(100),
+                node,
+                Input::UpstreamDone { call, result },
+            );
+        }
+        if self.places[node].upstream.take(self.now, call, job) {
+            self.begin_work(node, call);
+        }
+    }
+
+    fn begin_work(&mut self, node: usize, call: CallKey) {
+        let place = &self.places[node];
+        let mean = self.graph.services[place.service].work.as_secs_f64();
+        let draw = -(1.0 - self.random.random::<f64>()).ln();
+        let work = Duration::from_secs_f64(mean * place.upstream.slowness * draw);
+        self.schedule.plan(self.now + work, Event::WorkDone { node, call });
+    }
+
+    fn work_done(&mut self, node: usize, call: CallKey) {
+        let place = &self.places[node];
+        let Some(job) = place.upstream.job(call).copied() else { return };
+        if job.below == 0 {
+            return self.answer(node, call, 200);
+        }
+        let service = service_name(place.service + 1);
+        let ticket = self.ticket(Port::Ingress, Waiter::Upstream { node, call });
+        let arrival = Arrival {
+            ticket,
+            origin: Origin::Upstream { parent: Some(call) },
+            service,
+            request: RequestId(job.request),
+            rank: None,
+            deadline: None,
+            effect: Effect::Idempotent,
+            payload: depth_payload(job.below - 1),
+        };
+        self.handle(node, Input::Arrive(arrival));
+    }
+
+    fn answer(&mut self, node: usize, call: CallKey, status: u16) {
+        if !self.end_job(node, call) {
+            return;
+        }
+        let loss = self.places[node].upstream.loss;
+        let is_lost = loss > 0.0 && self.random.random::<f64>() < loss;
+        let answer = Answer { status, fields: Vec::new(), body: bytes::Bytes::new() };
+        let result = if is_lost { Err(UpstreamFault::Lost) } else { Ok(answer) };
+        self.handle(node, Input::UpstreamDone { call, result });
+        self.start_next(node);
+    }
+
+    /// Ends a call in the upstream; `false` if it has ended already.
+    fn end_job(&mut self, node: usize, call: CallKey) -> bool {
+        let Some(job) = self.places[node].upstream.end(call) else { return false };
+        if self.is_measured(job.since) {
+            let seconds = self.now.since(job.since).as_secs_f64();
+            self.tally.note_slot_time(job.request, seconds);
+        }
+        true
+    }
+
+    fn start_next(&mut self, node: usize) {
+        while let Some(call) = self.places[node].upstream.next(self.now) {
+            self.begin_work(node, call);
+        }
+    }
+
+    fn cancel_dispatch(&mut self, node: usize, call: CallKey) {
+        self.end_job(node, call);
+        // The upstream drops its outbound call with the inbound one.
+        let below: Vec<Ticket> = self
+            .waiters
+            .iter()
+            .filter(|(_, w)| matches!(w, Waiter::Upstream { node: n, call: c } if *n == node && *c == call))
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in below {
+            self.waiters.remove(&ticket);
+            self.later(Duration::ZERO, node, Input::CallerLeft(ticket));
+        }
+        self.start_next(node);
+    }
+
+    fn strike(&mut self, at: usize) {
+        match self.faults[at].kind.clone() {
+            FaultKind::Slow { service, factor } => {
+                self.for_service(service, |place| place.upstream.slowness = factor);
+            }
+            FaultKind::Lose { service, loss } => {
+                self.for_service(service, |place| place.upstream.loss = loss);
+            }
+            FaultKind::Kill { service, instance } => self.kill(self.firsts[service] + instance),
+            FaultKind::Return { service, instance } => {
+                let node = self.firsts[service] + instance;
+                self.places[node].upstream.is_dead = false;
+                self.handle(node, Input::UpstreamRestarted);
+            }
+            FaultKind::Silence { service, instance } => {
+                let node = self.firsts[service] + instance;
+                self.places.iter_mut().for_each(|place| place.silent_from[node] = true);
+            }
+            FaultKind::State { service, slots } => {
+                let first = self.firsts[service];
+                for node in first..first + self.graph.services[service].instances {
+                    self.handle(node, Input::UpstreamSlots { slots });
+                }
+            }
+        }
+    }
+
+    fn for_service(&mut self, service: usize, mut change: impl FnMut(&mut Place)) {
+        self.places.iter_mut().filter(|p| p.service == service).for_each(&mut change);
+    }
+
+    fn kill(&mut self, node: usize) {
+        self.places[node].upstream.is_dead = true;
+        for call in self.places[node].upstream.clear() {
+            let result = Err(UpstreamFault::Lost);
+            self.later(KILL_NOTICE, node, Input::UpstreamDone { call, result });
+        }
+    }
+}
+
+/// A payload whose length states how many services are still below.
+fn depth_payload(below: usize) -> Payload {
+    const ZEROS: &[u8] = &[0; 64];
+    Payload { body: bytes::Bytes::from_static(&ZEROS[..below]), ..Payload::default() }
+}
+
+fn peer_outcome(outcome: Outcome) -> PeerOutcome {
+    match outcome {
+        Outcome::Answered(answer) => PeerOutcome::Answered(answer),
+        Outcome::NotRun(not_run) => PeerOutcome::NotRun {
+            reason: not_run.reason(),
+            retry_after: not_run.retry_after(),
+            by: not_run.by().clone(),
+        },
+        Outcome::Unknown(unknown) => PeerOutcome::Unknown(unknown.doubt),
+    }
+}
+
+fn policy_of(options: &LabBuilder) -> Policy {
+    let services = (0..options.graph.services.len())
+        .map(|s| ServiceRule { name: service_name(s), key_slots: 1, calls: Vec::new() })
+        .collect();
+    let zones = (0..3)
+        .map(|zone| ZoneName::new(format!("zone-{zone}")).expect("the name is valid"))
+        .collect();
+    Policy::new(options.ranks.clone(), services, zones, options.bounds.clone())
+        .expect("the lab's policy is valid")
+}
--- /dev/null
+++ b/crates/poplartrail-bench/src/scenarios.rs
@@ -0,0 +1,90 @@
+//! The call graphs and loads that the targets speak of.
+
+use std::time::Duration;
+
+use poplartrail_core::{
+    names::RankName,
+    policy::{Rank, Ranks},
+    time::Time,
+};
+
+use crate::lab::{Graph, Lab, LabBuilder, Load, Service};
+
+/// Time in which a run settles before anything is counted.
+pub const SETTLE: Time = Time::from_millis(8_000);
+
+/// Positions of the ranks of [`ranks`].
+pub mod rank {
+    /// Urgent stock checks.
+    pub const STOCK_CHECK: usize = 0;
+    /// Urgent refill orders.
+    pub const REFILL: usize = 1;
+    /// Route sheets.
+    pub const ROUTE: usize = 2;
+    /// Swaps.
+    pub const SWAP: usize = 3;
+    /// Routine lookups.
+    pub const LOOKUP: usize = 4;
+}
+
+/// Five ranks, two of them urgent.
+pub fn ranks() -> Ranks {
+    let rank = |name, target_ms, worth, is_urgent| Rank {
+        name: RankName::new(name).expect("the name is valid"),
+        target: Duration::from_millis(target_ms),
+        worth,
+        is_urgent,
+    };
+    Ranks::new(vec![
+        rank("stock-check", 1500, 100.0, true),
+        rank("refill-order", 2000, 80.0, true),
+        rank("route-sheet", 2000, 40.0, false),
+        rank("swap", 2500, 30.0, false),
+        rank("lookup", 3000, 5.0, false),
+    ])
+    .expect("the ranks are valid")
+}
+
+/// vn-south: four services of three instances, the last with few slots.
+pub fn vn_south() -> Graph {
+    let service = |slots| Service { instances: 3, slots, work: Duration::from_millis(50) };
+    Graph {
+        services: vec![service(100), service(100), service(100), service(25)],
+        hop: Duration::from_micros(1_500),
+    }
+}
+
+/// ie-midlands: four services of four instances, the last with very few slots.
+pub fn ie_midlands() -> Graph {
+    let service = |slots, work| Service { instances: 4, slots, work: Duration::from_millis(work) };
+    Graph {
+        services: vec![service(110, 30), service(110, 30), service(110, 30), service(10, 10)],
+        hop: Duration::from_millis(1),
+    }
+}
+
+/// A chain of 22 services, the last with few slots and slow work.
+pub fn deep() -> Graph {
+    let service = |slots, work| Service { instances: 3, slots, work: Duration::from_millis(work) };
+    let mut services: Vec<Service> = (0..21).map(|_| service(100, 10)).collect();
+    services.push(service(25, 100));
+    Graph { services, hop: Duration::from_micros(1_500) }
+}
+
+/// Shares of the ranks in an ordinary mix.
+const MIX: [f64; 5] = [0.05, 0.05, 0.3, 0.3, 0.3];
+
+/// An ordinary mix of all ranks at `times` the capacity of `graph` from `from` until `until`.
+pub fn mixed(graph: &Graph, times: f64, from: Time, until: Time) -> Vec<Load> {
+    let rate = graph.capacity() * times;
+    let depth = graph.services.len();
+    let load = |(rank, part): (usize, &f64)| Load::new(rank, depth, rate * part, from, until);
+    MIX.iter().enumerate().map(load).collect()
+}
+
+/// A run of `graph` under an ordinary mix at `times` its capacity, counted for `seconds`.
+pub fn overload(graph: &Graph, times: f64, seconds: u64) -> LabBuilder {
+    let until = SETTLE + Duration::from_secs(seconds);
+    let builder = Lab::builder(graph.clone(), ranks()).measured(SETTLE, until);
+    mixed(graph, times, Time::ZERO, until).into_iter().fold(builder, LabBuilder::load)
+}
