Take the limit's baseline from experiments on fixed sets of calls

Cause: at half load a sixth of the requests was refused. The limits stood at 10 to 60 of 100 slots: the smallest of many noisy means was taken for the baseline, so ordinary rounds looked like queueing. Ruled out: shares (all full at half load), deadlines (no refusal for them). Tried and given up: a baseline from whatever calls of an experiment ended first. Those are the fast ones, so the baseline and the limit ran away (limits of 4 000 to 10 000 for 100 slots). Change: a round looks at a fixed set of calls until the last has ended; a rise is queueing only if it shrinks when fewer calls are let in; the stated slots only set the first limit, capped at 64.

--- a/crates/poplartrail-bench/src/bin/lab.rs
+++ b/crates/poplartrail-bench/src/bin/lab.rs
@@ -3,6 +3,10 @@
 use poplartrail_bench::scenarios::{deep, ie_midlands, overload, vn_south};
 
 fn main() {
+    if std::env::var("DBG").is_ok() {
+        overload(&vn_south(), 5.0, 4).run();
+        return;
+    }
     for (name, graph) in
         [("vn-south", vn_south()), ("ie-midlands", ie_midlands()), ("deep", deep())]
     {
@@ -21,6 +25,7 @@
                 (0..5).map(|r| (tally.kept(r) * 1000.0).round() / 1000.0).collect::<Vec<_>>(),
                 start.elapsed(),
             );
+            println!("   limits {:?}", tally.limits);
         }
     }
 }
--- a/crates/poplartrail-bench/src/lab/tally.rs
+++ b/crates/poplartrail-bench/src/lab/tally.rs
@@ -34,6 +34,8 @@
     pub max_retries: u32,
     /// Urgent calls refused by a gate in an interval in which it admitted less urgent ones.
     pub order_violations: u64,
+    /// Limit of each node's gate at the end.
+    pub limits: Vec<usize>,
     /// Urgent calls refused by gates for overload.
     pub urgent_shed: u64,
     pub(crate) slot_time_of: HashMap<u128, f64>,
--- a/crates/poplartrail-bench/src/lab/world.rs
+++ b/crates/poplartrail-bench/src/lab/world.rs
@@ -28,6 +28,8 @@
 const WALL_START: WallTime = WallTime::from_millis(1_800_000_000_000);
 /// First limit of a gate that knows nothing of its upstream.
 const FIRST_LIMIT: usize = 8;
+/// Time after the counted one in which the counted requests can end.
+const RUN_OUT: Duration = Duration::from_secs(4);
 /// Time after which a node notices that a killed one is gone.
 const KILL_NOTICE: Duration = Duration::from_millis(5);
 
@@ -194,7 +196,7 @@
 
     /// Runs to the end and returns the counts.
     pub fn run(self) -> Tally {
-        Lab::new(self).run()
+        Lab::new(&self).run()
     }
 }
 
@@ -216,6 +218,7 @@
     tally: Tally,
     now: Time,
     measured_from: Time,
+    measured_until: Time,
     until: Time,
     out: Vec<Output>,
 }
@@ -261,8 +264,8 @@
         }
     }
 
-    fn new(options: LabBuilder) -> Self {
-        let policy = Arc::new(policy_of(&options));
+    fn new(options: &LabBuilder) -> Self {
+        let policy = Arc::new(policy_of(options));
         let mut lab = Self {
             places: Vec::new(),
             firsts: Vec::new(),
@@ -274,7 +277,8 @@
             tally: Tally::new(options.ranks.len()),
             now: Time::ZERO,
             measured_from: options.measured_from,
-            until: options.until,
+            measured_until: options.until,
+            until: options.until + RUN_OUT,
             out: Vec::new(),
             graph: options.graph.clone(),
             ranks: options.ranks.clone(),
@@ -284,7 +288,7 @@
         for service in 0..options.graph.services.len() {
             lab.firsts.push(lab.places.len());
             for instance in 0..options.graph.services[service].instances {
-                lab.add_place(&options, &policy, service, instance);
+                lab.add_place(options, &policy, service, instance);
             }
         }
         lab.introduce_members();
@@ -329,6 +333,9 @@
             source: Box::new(NoDocuments),
         });
         node.serve();
+        let slots = self.graph.services[service].slots as u32;
+        let wall = WALL_START;
+        node.handle(Time::ZERO, wall, Input::UpstreamSlots { slots }, &mut Vec::new());
         let upstream = FakeUpstream::new(self.graph.services[service].slots);
         let silent_from = Vec::new();
         self.places.push(Place { node, upstream, service, wake_at: Time::ZERO, silent_from });
@@ -356,6 +363,7 @@
             self.now = at;
             self.take(event);
         }
+        self.tally.limits = self.places.iter().map(|p| p.node.calls().gate().limit()).collect();
         self.tally.close();
         self.tally
     }
@@ -377,7 +385,7 @@
     }
 
     fn is_measured(&self, entered: Time) -> bool {
-        entered >= self.measured_from
+        entered >= self.measured_from && entered <= self.measured_until
     }
 
     fn next_request(&mut self, load: usize) {
--- a/crates/poplartrail-bench/src/scenarios.rs
+++ b/crates/poplartrail-bench/src/scenarios.rs
@@ -86,5 +86,6 @@
 pub fn overload(graph: &Graph, times: f64, seconds: u64) -> LabBuilder {
     let until = SETTLE + Duration::from_secs(seconds);
     let builder = Lab::builder(graph.clone(), ranks()).measured(SETTLE, until);
-    mixed(graph, times, Time::ZERO, until).into_iter().fold(builder, LabBuilder::load)
+    let last = until + Duration::from_secs(4);
+    mixed(graph, times, Time::ZERO, last).into_iter().fold(builder, LabBuilder::load)
 }
--- a/crates/poplartrail-core/src/engine/calls.rs
+++ b/crates/poplartrail-core/src/engine/calls.rs
@@ -32,6 +32,8 @@
 const CALLED_WINDOW: Duration = Duration::from_secs(10);
 /// First limit of a gate that knows nothing of its upstream.
 const FIRST_LIMIT: usize = 8;
+/// Highest first limit, whatever the upstream says of itself.
+const MAX_FIRST_LIMIT: usize = 64;
 
 /// Parameters of [`Calls`].
 #[derive(Debug, Clone)]
@@ -251,7 +253,7 @@
 
     /// Starts the gate's law again, after the upstream has come back.
     pub(crate) fn restart_gate(&mut self, slots: Option<usize>) {
-        let first = slots.map_or(FIRST_LIMIT, |s| (s / 8).max(FIRST_LIMIT));
+        let first = slots.map_or(FIRST_LIMIT, |s| (s / 2).clamp(FIRST_LIMIT, MAX_FIRST_LIMIT));
         if let Some(Law::Gradient(_)) = self.options.law {
             self.gate.set_law(Law::Gradient(Gradient::new(first)));
         }
--- a/crates/poplartrail-core/src/engine/live.rs
+++ b/crates/poplartrail-core/src/engine/live.rs
@@ -7,6 +7,7 @@
 use crate::{
     call::{Admitted, Arrived, Call, Dispatched, Effect, RequestId, RetryBudget, Sent},
     engine::{Origin, Ticket},
+    gate::Place,
     policy::RankIndex,
     route::InstanceKey,
     time::Time,
@@ -59,8 +60,8 @@
     pub(crate) attempt: u32,
     /// Instance of its present send.
     pub(crate) instance: Option<InstanceKey>,
-    /// Calls in the upstream when it was dispatched.
-    pub(crate) in_flight: usize,
+    /// The place that it has in the upstream.
+    pub(crate) place: Place,
     /// Outbound calls that the upstream makes for it at present.
     pub(crate) children: u32,
     /// When the first of those began.
--- a/crates/poplartrail-core/src/engine/returns.rs
+++ b/crates/poplartrail-core/src/engine/returns.rs
@@ -6,7 +6,7 @@
         CallKey, Calls, Origin, Output, PeerFault, PeerOutcome, UpstreamFault,
         arrivals::wait_after, calls::Cx, live::Stage,
     },
-    gate::{Completion, GateStep},
+    gate::{Completion, GateStep, Place},
     route::GateReport,
 };
 
@@ -15,22 +15,21 @@
     pub(crate) fn take_steps(&mut self, cx: &mut Cx<'_>, steps: Vec<GateStep>) {
         for step in steps {
             match step {
-                GateStep::Dispatch(key) => self.dispatch(cx, key),
+                GateStep::Dispatch(key, place) => self.dispatch(cx, key, place),
                 GateStep::Refuse(key, reason) => self.refuse_waiting(cx, key, reason),
             }
         }
     }
 
-    fn dispatch(&mut self, cx: &mut Cx<'_>, key: CallKey) {
+    fn dispatch(&mut self, cx: &mut Cx<'_>, key: CallKey, place: Place) {
         let Some(call) = self.take_waiting(key) else { return };
         cx.out.push(Output::Dispatch {
             call: key,
             context: call.context().clone(),
             payload: call.payload().clone(),
         });
-        let in_flight = self.gate.in_flight();
         let live = &mut self.live[key];
-        live.in_flight = in_flight;
+        live.place = place;
         live.stage = Stage::Running(call.dispatch(cx.now));
     }
 
@@ -110,7 +109,7 @@
             if live.children > 0 { cx.now.since(live.children_since) } else { Default::default() };
         let hold = cx.now.since(at);
         let own = hold.saturating_sub(live.children_time + open);
-        let done = Completion { hold, own, in_flight: live.in_flight, is_fault };
+        let done = Completion { hold, own, place: live.place, is_fault };
         let mut steps = Vec::new();
         self.gate.complete(cx.now, done, &mut steps);
         self.take_steps(cx, steps);
--- a/crates/poplartrail-core/src/gate/aimd.rs
+++ b/crates/poplartrail-core/src/gate/aimd.rs
@@ -46,7 +46,7 @@
                 self.limit = (self.limit * DECREASE).max(1.0);
                 self.decreased_at = now;
             }
-        } else if (sample.in_flight + 1) as f64 >= self.limit * 0.9 {
+        } else if sample.in_flight as f64 >= self.limit * 0.9 {
             self.limit = (self.limit + 1.0 / self.limit).min(MAX_LIMIT);
         }
         self.smallest = Some(self.smallest.map_or(sample.own, |least| least.min(sample.own)));
--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -5,7 +5,7 @@
 use crate::{
     call::{Draw, Refusal, Share},
     engine::CallKey,
-    gate::{Demand, Law, LimitLaw, Sample, divide, queue::RankQueue},
+    gate::{Demand, Law, LimitLaw, Place, Sample, divide, queue::RankQueue},
     policy::{RankIndex, Ranks},
     time::Time,
 };
@@ -44,7 +44,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum GateStep {
     /// The call has a place and goes to the upstream.
-    Dispatch(CallKey),
+    Dispatch(CallKey, Place),
     /// The call is refused.
     Refuse(CallKey, Refusal),
 }
@@ -56,8 +56,8 @@
     pub hold: Duration,
     /// Time in the upstream without those waits.
     pub own: Duration,
-    /// Calls in progress when the call was dispatched.
-    pub in_flight: usize,
+    /// The place that the call had.
+    pub place: Place,
     /// Whether the upstream said that it is overloaded, or did not answer.
     pub is_fault: bool,
 }
@@ -91,6 +91,7 @@
     ranks: Vec<RankState>,
     queue: RankQueue,
     in_flight: usize,
+    next_turn: u64,
     hold: Option<f64>,
     gain: f64,
     use_sum: f64,
@@ -109,6 +110,7 @@
             ranks: vec![start; ranks.len()],
             options,
             in_flight: 0,
+            next_turn: 0,
             hold: None,
             gain: 1.0,
             use_sum: 0.0,
@@ -196,20 +198,18 @@
         let hold = done.hold.as_secs_f64();
         self.hold = Some(self.hold.map_or(hold, |old| old + HOLD_WEIGHT * (hold - old)));
         if let Some(law) = &mut self.options.law {
-            let sample =
-                Sample { own: done.own, in_flight: done.in_flight, is_fault: done.is_fault };
+            let sample = Sample {
+                own: done.own,
+                hold: done.hold,
+                turn: done.place.turn,
+                in_flight: done.place.in_flight,
+                is_fault: done.is_fault,
+            };
             law.observe(now, sample);
         }
         self.fill_places(now, steps);
     }
 
-    /// Gives up the place of a call that ended without telling anything about the upstream.
-    pub fn release(&mut self, now: Time, steps: &mut Vec<GateStep>) {
-        self.note_use(now);
-        self.in_flight = self.in_flight.saturating_sub(1);
-        self.fill_places(now, steps);
-    }
-
     /// Takes a call out of the queue whose caller has left.
     pub fn withdraw(&mut self, call: CallKey) -> bool {
         !self.queue.drain_if(|offer| offer.call == call).is_empty()
@@ -273,7 +273,12 @@
             }
             self.note_use(now);
             self.in_flight += 1;
-            steps.push(GateStep::Dispatch(offer.call));
+            let place = Place { turn: self.next_turn, in_flight: self.in_flight };
+            self.next_turn += 1;
+            if let Some(law) = &mut self.options.law {
+                law.dispatched(place);
+            }
+            steps.push(GateStep::Dispatch(offer.call, place));
         }
     }
 
@@ -300,7 +305,7 @@
     /// Calls a second that the upstream can take, from the limit and the time that a call holds.
     fn capacity(&mut self, length: f64) -> Option<f64> {
         let hold = self.hold.filter(|hold| *hold > 0.0)?;
-        let limit = self.limit() as f64;
+        let limit = self.options.law.as_ref().map_or(usize::MAX, Law::steady_limit) as f64;
         let used = self.use_sum / length / limit;
         let backlog = self.queue.len() as f64 / limit;
         let error = if self.queue.len() == 0 { TARGET_USE - used } else { -backlog.min(1.0) * 0.2 };
--- a/crates/poplartrail-core/src/gate/gradient.rs
+++ b/crates/poplartrail-core/src/gate/gradient.rs
@@ -1,56 +1,164 @@
 //! A limit from the gradient of own time, after Netflix's concurrency-limits (2018).
 //!
-//! The published law takes every rise of latency for queueing. An upstream whose work
-//! itself has become slower then gets a limit far below its slots. Here a cut that does not
-//! shorten the own time shows slow work, and the baseline moves to the present own time.
+//! The published law takes its baseline from the smallest latency of past rounds and every rise
+//! above it for queueing. With random service times the smallest of many means lies far below
+//! the true mean, so the limit is cut without cause. A mean over whatever ended first is too
+//! small as well, so a round looks at a fixed set of calls until the last of them has ended.
+//! An upstream whose work has become
+//! slower would keep a limit far below its slots. Here the baseline comes from experiments: for
+//! a moment fewer calls are let in, and the own time of just these calls is compared with that
+//! of calls at the full limit. Queueing shows in the difference, slow work does not.
 
 use std::time::Duration;
 
 use crate::{
-    gate::{LimitLaw, Sample},
+    gate::{LimitLaw, Place, Sample},
     time::Time,
 };
 
-/// Length of a round.
-const ROUND: Duration = Duration::from_millis(100);
-/// Longest round that waits for enough samples.
-const MAX_ROUND: Duration = Duration::from_secs(2);
-/// Samples without which a round goes on.
-const MIN_SAMPLES: u32 = 30;
+/// Fewest calls of a round; otherwise a round has as many calls as the limit.
+const ROUND_CALLS: u32 = 40;
+/// Most calls of a round.
+const MAX_ROUND_CALLS: u32 = 400;
+/// Part of a round's calls that were dispatched at the limit, from which the round is full.
+const FULL_PART: f64 = 0.5;
+/// Part of the limit from which a call counts as dispatched at the limit.
+const AT_LIMIT: f64 = 0.95;
 /// Rise of own time over the baseline that is not taken for queueing.
-const TOLERANCE: f64 = 1.15;
-/// Strongest cut of one round.
-const MAX_CUT: f64 = 0.5;
-/// Share of a cut by which own time must fall to show queueing.
-const QUEUEING_SHARE: f64 = 0.4;
-/// Growth of the baseline in each round at the limit.
-const BASE_DRIFT: f64 = 1.002;
+const TOLERANCE: f64 = 1.08;
+/// Standard errors of a round's mean that are not taken for queueing either.
+const STANDARD_ERRORS: f64 = 2.0;
+/// Standard errors above [`BREAK_RATIO`] that call for an experiment.
+const BREAK_ERRORS: f64 = 4.0;
+/// Part of the limit that an experiment lets in.
+const EXPERIMENT_PART: f64 = 0.6;
+/// Calls that an experiment looks at.
+const EXPERIMENT_CALLS: u32 = 60;
+/// Shortest time between two experiments that nothing gives cause for.
+const EXPERIMENT_PAUSE: Duration = Duration::from_secs(10);
+/// The same, as a multiple of the time that a call holds its place.
+const EXPERIMENT_PAUSE_HOLD: f64 = 40.0;
+/// Weight of an experiment in the baseline.
+const EXPERIMENT_WEIGHT: f64 = 0.3;
+/// Weight of a round below the limit in the baseline.
+const IDLE_WEIGHT: f64 = 0.1;
+/// Ratio of own time to the baseline that calls for an experiment, and replaces the baseline.
+const BREAK_RATIO: f64 = 1.5;
+/// Part of the expected fall of own time that shows queueing.
+const QUEUEING_PART: f64 = 0.5;
 /// Factor by which a ramp grows in each round.
 const RAMP: f64 = 2.0;
-/// Factor on a round with faults.
+/// Part of the square root of the limit by which it grows after a ramp.
+const GROWTH: f64 = 0.5;
+/// Factor on a round in which more than one call in ten failed.
 const FAULT_CUT: f64 = 0.9;
+/// Strongest cut of one round.
+const MAX_CUT: f64 = 0.6;
 /// Highest limit.
 const MAX_LIMIT: f64 = 10_000.0;
 
-/// A cut whose effect has not been seen yet.
+/// Mean and spread of some samples.
+#[derive(Debug, Clone, Copy, Default)]
+struct Samples {
+    sum: f64,
+    squares: f64,
+    hold: f64,
+    count: u32,
+    faults: u32,
+}
+
+impl Samples {
+    fn add(&mut self, sample: &Sample) {
+        let own = sample.own.as_secs_f64();
+        self.sum += own;
+        self.squares += own * own;
+        self.hold += sample.hold.as_secs_f64();
+        self.count += 1;
+        self.faults += u32::from(sample.is_fault);
+    }
+
+    fn mean(&self) -> f64 {
+        self.sum / f64::from(self.count.max(1))
+    }
+
+    /// Mean time that a call held its place.
+    fn mean_hold(&self) -> f64 {
+        self.hold / f64::from(self.count.max(1))
+    }
+
+    /// Standard error of the mean.
+    fn error(&self) -> f64 {
+        let count = f64::from(self.count.max(2));
+        let variance = (self.squares / count - self.mean().powi(2)).max(0.0);
+        (variance / count).sqrt()
+    }
+}
+
+/// A fixed set of calls, dispatched one after another.
 #[derive(Debug, Clone, Copy)]
-struct Cut {
-    limit_before: f64,
+struct Cohort {
+    first: u64,
+    size: u32,
+    sent: u32,
+    at_limit: u32,
+    max_in_flight: usize,
+    samples: Samples,
+}
+
+impl Cohort {
+    fn new(first: u64, size: u32) -> Self {
+        Self { first, size, sent: 0, at_limit: 0, max_in_flight: 0, samples: Samples::default() }
+    }
+
+    fn dispatched(&mut self, in_flight: usize, limit: f64) {
+        if self.sent < self.size {
+            self.sent += 1;
+            self.at_limit += u32::from(in_flight as f64 >= limit * AT_LIMIT);
+            self.max_in_flight = self.max_in_flight.max(in_flight);
+        }
+    }
+
+    fn observe(&mut self, sample: &Sample) {
+        let last = self.first + u64::from(self.size);
+        if (self.first..last).contains(&sample.turn) {
+            self.samples.add(sample);
+        }
+    }
+
+    fn is_complete(&self) -> bool {
+        self.samples.count >= self.size
+    }
+
+    fn is_full(&self) -> bool {
+        f64::from(self.at_limit) >= f64::from(self.size) * FULL_PART
+    }
+}
+
+/// Fewer calls are let in for a moment.
+#[derive(Debug, Clone, Copy)]
+struct Experiment {
+    part_limit: usize,
     own_before: f64,
+    calls: Cohort,
+}
+
+impl Experiment {
+    /// Whether still fewer calls are let in.
+    fn is_holding_back(&self) -> bool {
+        self.calls.sent < self.calls.size
+    }
 }
 
-/// Cuts the limit by the ratio of baseline to own time, and grows it by its square root.
+/// Follows the ratio of the baseline to the own time, and probes for more by its square root.
 #[derive(Debug, Clone)]
 pub struct Gradient {
     limit: f64,
     base: Option<f64>,
-    cut: Option<Cut>,
     is_ramping: bool,
-    sum: f64,
-    count: u32,
-    faults: u32,
-    is_full: bool,
-    round_at: Time,
+    next_turn: u64,
+    round: Cohort,
+    experiment: Option<Experiment>,
+    experiment_at: Time,
 }
 
 impl Gradient {
@@ -59,13 +167,11 @@
         Self {
             limit: initial.max(1) as f64,
             base: None,
-            cut: None,
             is_ramping: true,
-            sum: 0.0,
-            count: 0,
-            faults: 0,
-            is_full: false,
-            round_at: Time::ZERO,
+            next_turn: 0,
+            round: Cohort::new(0, ROUND_CALLS),
+            experiment: None,
+            experiment_at: Time::ZERO,
         }
     }
 
@@ -74,58 +180,122 @@
         self.base
     }
 
-    /// Moves the baseline up if the last cut did not shorten the own time.
-    fn judge_cut(&mut self, own: f64) {
-        let Some(cut) = self.cut.take() else { return };
-        let expected_fall = 1.0 - self.limit / cut.limit_before;
-        let fall = 1.0 - own / cut.own_before;
-        if fall < expected_fall * QUEUEING_SHARE {
-            self.base = Some(own);
-        }
+    fn begin_round(&mut self) {
+        let size = (self.limit as u32).clamp(ROUND_CALLS, MAX_ROUND_CALLS);
+        self.round = Cohort::new(self.next_turn, size);
+    }
+
+    fn end_round(&mut self, now: Time) {
+        let round = self.round;
+        self.judge_round(now, &round);
+        self.begin_round();
     }
 
-    fn end_round(&mut self) {
-        let own = self.sum / f64::from(self.count.max(1));
-        if self.faults * 10 > self.count {
-            self.limit = (self.limit * FAULT_CUT).max(1.0);
+    fn judge_round(&mut self, now: Time, round: &Cohort) {
+        let samples = &round.samples;
+        if samples.faults * 10 > samples.count {
+            self.cut(FAULT_CUT);
             self.is_ramping = false;
             return;
         }
-        self.judge_cut(own);
-        let base = self.base.map_or(own, |base| base.min(own));
-        self.base = Some(base);
-        if own > base * TOLERANCE {
-            let factor = (base * TOLERANCE / own).max(MAX_CUT);
-            self.cut = Some(Cut { limit_before: self.limit, own_before: own });
-            self.limit = (self.limit * factor).max(1.0);
+        let own = samples.mean();
+        let base = *self.base.get_or_insert(own);
+        let allowed = base * TOLERANCE + STANDARD_ERRORS * samples.error();
+        if own > base * BREAK_RATIO + BREAK_ERRORS * samples.error() {
             self.is_ramping = false;
-        } else if self.is_full {
-            self.base = Some(base * BASE_DRIFT);
-            let grown =
-                if self.is_ramping { self.limit * RAMP } else { self.limit + self.limit.sqrt() };
-            self.limit = grown.min(MAX_LIMIT);
+            self.begin_experiment(now, round);
+        } else if !round.is_full() {
+            // Below the limit hardly anything queues because of it.
+            self.base = Some(base + IDLE_WEIGHT * (own - base));
+        } else if own > allowed {
+            self.is_ramping = false;
+            self.cut(allowed / own);
+        } else {
+            self.grow();
+            let hold = samples.mean_hold() * EXPERIMENT_PAUSE_HOLD;
+            let pause = EXPERIMENT_PAUSE.max(Duration::from_secs_f64(hold));
+            if !self.is_ramping && now.since(self.experiment_at) >= pause {
+                self.begin_experiment(now, round);
+            }
+        }
+    }
+
+    fn cut(&mut self, factor: f64) {
+        self.limit = (self.limit * factor.clamp(MAX_CUT, 1.0)).max(1.0);
+    }
+
+    fn grow(&mut self) {
+        let step =
+            if self.is_ramping { self.limit * (RAMP - 1.0) } else { self.limit.sqrt() * GROWTH };
+        self.limit = (self.limit + step).min(MAX_LIMIT);
+    }
+
+    fn begin_experiment(&mut self, now: Time, round: &Cohort) {
+        let part_limit = (round.max_in_flight as f64 * EXPERIMENT_PART) as usize;
+        self.experiment = Some(Experiment {
+            part_limit: part_limit.max(1),
+            own_before: round.samples.mean(),
+            calls: Cohort::new(self.next_turn, EXPERIMENT_CALLS),
+        });
+        self.experiment_at = now;
+    }
+
+    /// Compares the calls of an experiment with those at the full limit.
+    fn end_experiment(&mut self, experiment: &Experiment) {
+        self.experiment = None;
+        let own = experiment.calls.samples.mean();
+        let base = self.base.unwrap_or(own);
+        let fall = 1.0 - own / experiment.own_before;
+        let is_queueing = fall > QUEUEING_PART * (1.0 - EXPERIMENT_PART);
+        if is_queueing {
+            // A rest of the queue may still be in this own time, so it only lowers the base.
+            let lower = own.min(base);
+            self.base = Some(base + EXPERIMENT_WEIGHT * (lower - base));
+            self.cut(own / experiment.own_before * TOLERANCE);
+        } else {
+            let is_break = own > base * BREAK_RATIO || own * BREAK_RATIO < base;
+            let weight = if is_break { 1.0 } else { EXPERIMENT_WEIGHT };
+            self.base = Some(base + weight * (own - base));
         }
+        self.begin_round();
     }
 }
 
 impl LimitLaw for Gradient {
     fn limit(&self) -> usize {
+        match &self.experiment {
+            Some(experiment) if experiment.is_holding_back() => experiment.part_limit,
+            _ => self.limit as usize,
+        }
+    }
+
+    fn steady_limit(&self) -> usize {
         self.limit as usize
     }
 
+    fn dispatched(&mut self, place: Place) {
+        self.next_turn = place.turn + 1;
+        match &mut self.experiment {
+            Some(experiment) => experiment.calls.dispatched(place.in_flight, self.limit),
+            None => self.round.dispatched(place.in_flight, self.limit),
+        }
+    }
+
     fn observe(&mut self, now: Time, sample: Sample) {
-        self.count += 1;
-        self.faults += u32::from(sample.is_fault);
-        self.sum += sample.own.as_secs_f64();
-        self.is_full |= (sample.in_flight + 1) as f64 >= self.limit * 0.9;
-        let age = now.since(self.round_at);
-        if age >= MAX_ROUND || (age >= ROUND && self.count >= MIN_SAMPLES) {
-            self.end_round();
-            self.sum = 0.0;
-            self.count = 0;
-            self.faults = 0;
-            self.is_full = false;
-            self.round_at = now;
+        match &mut self.experiment {
+            Some(experiment) => {
+                experiment.calls.observe(&sample);
+                let experiment = *experiment;
+                if experiment.calls.is_complete() {
+                    self.end_experiment(&experiment);
+                }
+            }
+            None => {
+                self.round.observe(&sample);
+                if self.round.is_complete() {
+                    self.end_round(now);
+                }
+            }
         }
     }
 }
--- a/crates/poplartrail-core/src/gate/law.rs
+++ b/crates/poplartrail-core/src/gate/law.rs
@@ -7,12 +7,25 @@
     time::Time,
 };
 
+/// The place that a call got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Place {
+    /// Number of the call among all that were dispatched.
+    pub turn: u64,
+    /// Calls in progress, the call itself included.
+    pub in_flight: usize,
+}
+
 /// What one finished call tells about the upstream.
 #[derive(Debug, Clone, Copy)]
 pub struct Sample {
     /// Time in the upstream, less the time in which it waited for its own outbound calls.
     pub own: Duration,
-    /// Calls in progress when this one was dispatched.
+    /// Time in the upstream, waits for its own outbound calls included.
+    pub hold: Duration,
+    /// Number of the call among all that were dispatched.
+    pub turn: u64,
+    /// Calls in progress when this one was dispatched, itself included.
     pub in_flight: usize,
     /// Whether the upstream said that it is overloaded, or did not answer.
     pub is_fault: bool,
@@ -23,6 +36,14 @@
     /// Calls that may be in progress, at least 1.
     fn limit(&self) -> usize;
 
+    /// The limit without short experiments.
+    fn steady_limit(&self) -> usize {
+        self.limit()
+    }
+
+    /// Takes in that a call was dispatched.
+    fn dispatched(&mut self, _place: Place) {}
+
     /// Takes in one finished call.
     fn observe(&mut self, now: Time, sample: Sample);
 }
@@ -50,6 +71,19 @@
         }
     }
 
+    fn steady_limit(&self) -> usize {
+        match self {
+            Law::Gradient(law) => law.steady_limit(),
+            law => law.limit(),
+        }
+    }
+
+    fn dispatched(&mut self, place: Place) {
+        if let Law::Gradient(law) = self {
+            law.dispatched(place);
+        }
+    }
+
     fn observe(&mut self, now: Time, sample: Sample) {
         match self {
             Law::Fixed(law) => law.observe(now, sample),
--- a/crates/poplartrail-core/src/gate/vegas.rs
+++ b/crates/poplartrail-core/src/gate/vegas.rs
@@ -60,7 +60,7 @@
     fn observe(&mut self, now: Time, sample: Sample) {
         self.sum += sample.own.as_secs_f64();
         self.count += 1;
-        self.is_full |= (sample.in_flight + 1) as f64 >= self.limit * 0.9;
+        self.is_full |= sample.in_flight as f64 >= self.limit * 0.9;
         if now.since(self.round_at) >= ROUND && self.count >= MIN_SAMPLES {
             self.end_round(self.sum / f64::from(self.count));
             self.sum = 0.0;
