Cut the shares of urgent work last, and mend the lab's upstream

Cause: waiting calls of less urgent ranks were deducted from the capacity of the urgent ones, and an urgent share that was still growing back did not close the ranks below it. Separately, 0.8% of urgent requests ran into their deadline without any node refusing them: a trace showed that the lab's upstream gave a freed slot to a new call while older ones waited in its queue. Change: the backlog goes to the cost of the ranks that are not urgent; an urgent share below full closes all that follow; a freed slot in the lab goes to the oldest waiting call.

--- a/crates/poplartrail-bench/src/lab/tally.rs
+++ b/crates/poplartrail-bench/src/lab/tally.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 
-use poplartrail_core::time::Time;
+use poplartrail_core::{call::Refusal, time::Time};
 
 /// Counts of one rank within the measured time.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -34,6 +34,10 @@
     pub max_retries: u32,
     /// Urgent calls refused by a gate in an interval in which it admitted less urgent ones.
     pub order_violations: u64,
+    /// Refusals that callers were told, by rank and reason.
+    pub refusals: HashMap<(usize, Refusal), u64>,
+    /// Slot time of each node, in seconds.
+    pub slot_time_by_node: Vec<f64>,
     /// Limit of each node's gate at the end.
     pub limits: Vec<usize>,
     /// Urgent calls refused by gates for overload.
@@ -57,7 +61,11 @@
         self.whole_by_second[second] += 1;
     }
 
-    pub(crate) fn note_slot_time(&mut self, request: u128, seconds: f64) {
+    pub(crate) fn note_slot_time(&mut self, node: usize, request: u128, seconds: f64) {
+        if self.slot_time_by_node.len() <= node {
+            self.slot_time_by_node.resize(node + 1, 0.0);
+        }
+        self.slot_time_by_node[node] += seconds;
         self.slot_time += seconds;
         *self.slot_time_of.entry(request).or_default() += seconds;
     }
--- a/crates/poplartrail-bench/src/lab/world.rs
+++ b/crates/poplartrail-bench/src/lab/world.rs
@@ -500,12 +500,12 @@
                 let other = usize::from(to.port()) - 1;
                 self.places[node].silent_from[other] = false;
             }
-            Output::Note(event) => self.note(node, &event),
+            Output::Note(event) => self.note(&event),
             _ => {}
         }
     }
 
-    fn note(&mut self, _node: usize, event: &poplartrail_core::engine::Event) {
+    fn note(&mut self, event: &poplartrail_core::engine::Event) {
         if let (EventKind::Retried { .. }, Some(request)) = (&event.kind, event.request) {
             self.tally.note_retry(request.0);
         }
@@ -590,7 +590,10 @@
             let counts = &mut self.tally.ranks[rank];
             match outcome {
                 _ if is_whole => counts.whole += 1,
-                Outcome::NotRun(_) => counts.not_run += 1,
+                Outcome::NotRun(not_run) => {
+                    counts.not_run += 1;
+                    *self.tally.refusals.entry((rank, not_run.reason())).or_default() += 1;
+                }
                 _ => counts.failed += 1,
             }
         }
@@ -653,8 +656,9 @@
         let is_lost = loss > 0.0 && self.random.random::<f64>() < loss;
         let answer = Answer { status, fields: Vec::new(), body: bytes::Bytes::new() };
         let result = if is_lost { Err(UpstreamFault::Lost) } else { Ok(answer) };
-        self.handle(node, Input::UpstreamDone { call, result });
+        // The slot goes to a call that waits in the upstream, not to one that comes later.
         self.start_next(node);
+        self.handle(node, Input::UpstreamDone { call, result });
     }
 
     /// Ends a call in the upstream; `false` if it has ended already.
@@ -662,7 +666,7 @@
         let Some(job) = self.places[node].upstream.end(call) else { return false };
         if self.is_measured(job.since) {
             let seconds = self.now.since(job.since).as_secs_f64();
-            self.tally.note_slot_time(job.request, seconds);
+            self.tally.note_slot_time(node, job.request, seconds);
         }
         true
     }
--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -302,8 +302,9 @@
         steps.extend(over.into_iter().map(|o| GateStep::Refuse(o.call, Refusal::Overload)));
     }
 
-    /// Calls a second that the upstream can take, from the limit and the time that a call holds.
-    fn capacity(&mut self, length: f64) -> Option<f64> {
+    /// Calls a second that the upstream can take, from the limit and the time that a call holds,
+    /// and the part of it that the waiting calls take up.
+    fn capacity(&mut self, length: f64) -> Option<(f64, f64)> {
         let hold = self.hold.filter(|hold| *hold > 0.0)?;
         let limit = self.options.law.as_ref().map_or(usize::MAX, Law::steady_limit) as f64;
         let used = self.use_sum / length / limit;
@@ -316,26 +317,27 @@
             self.gain += (1.0 - self.gain) * GAIN_STEP;
         }
         let rate = limit / hold * TARGET_USE * self.gain;
-        Some(rate - BACKLOG_WEIGHT * self.queue.len() as f64 / length)
+        Some((rate, BACKLOG_WEIGHT * self.queue.len() as f64 / length))
     }
 
     fn divide_capacity(&mut self, length: f64) {
         for state in &mut self.ranks {
             state.update_rate(length);
         }
-        let Some(capacity) = self.capacity(length) else { return };
+        let Some((capacity, backlog)) = self.capacity(length) else { return };
         let demands: Vec<Demand> = self
             .ranks
             .iter()
             .zip(&self.worths)
             .map(|(state, &(worth, is_urgent))| Demand { rate: state.rate, worth, is_urgent })
             .collect();
-        let shares = divide(capacity, &demands);
-        let is_urgent_cut =
-            shares.iter().zip(&demands).any(|(share, d)| d.is_urgent && *share < Share::FULL);
+        let shares = divide(capacity, backlog, &demands);
+        let mut is_urgent_cut = false;
+        // Urgent ranks stand before the others, so a cut of one closes all that follow.
         for ((state, share), demand) in self.ranks.iter_mut().zip(shares).zip(&demands) {
             let is_closed = is_urgent_cut && !demand.is_urgent;
             state.move_share(if is_closed { Share::NONE } else { share });
+            is_urgent_cut |= demand.is_urgent && state.share < Share::FULL;
         }
     }
 }
--- a/crates/poplartrail-core/src/gate/shares.rs
+++ b/crates/poplartrail-core/src/gate/shares.rs
@@ -17,7 +17,9 @@
 ///
 /// A rank that asks for less than its part leaves the rest to the others,
 /// so a flood of one kind takes nothing from the fair part of another.
-pub fn divide(capacity: f64, demands: &[Demand]) -> Vec<Share> {
+/// Waiting calls, which `backlog` calls a second would drain, go to the cost of ranks that are
+/// not urgent: the urgent ones overtake them in the queue.
+pub fn divide(capacity: f64, backlog: f64, demands: &[Demand]) -> Vec<Share> {
     let mut left = capacity.max(0.0);
     let mut shares = vec![Share::NONE; demands.len()];
     for (share, demand) in shares.iter_mut().zip(demands).filter(|(_, d)| d.is_urgent) {
@@ -27,7 +29,7 @@
             left = 0.0;
         }
     }
-    fill(left, demands, &mut shares);
+    fill(left - backlog, demands, &mut shares);
     shares
 }
 
