Cut the limit by the queue that Little's law shows

The entry's limits stood at 80 of 100 slots. Ruled out: shares (deep gates full), deadlines. Change: the rise of own time is a queue of rise / hold of the calls in progress, and just these are cut; an experiment expects the same part to vanish; an experiment counts as queueing only beyond two standard errors; experiments without cause come every 30 s instead of 10 s; shares aim at a short queue instead of 98% use.

--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -14,8 +14,10 @@
 const DEMAND_WEIGHT: f64 = 0.5;
 /// Weight of one call in the average time that it holds its place.
 const HOLD_WEIGHT: f64 = 0.02;
-/// Fraction of the places that the shares aim to fill.
-const TARGET_USE: f64 = 0.98;
+/// Waiting calls, as a fraction of the places, that keep the places filled.
+const TARGET_BACKLOG: f64 = 0.03;
+/// Weight of waiting calls in the error of the estimated capacity.
+const BACKLOG_ERROR: f64 = 0.3;
 /// Part of a full queue's work that the shares leave for the queue to drain.
 const BACKLOG_WEIGHT: f64 = 0.5;
 /// Largest growth of a rank's share from one interval to the next.
@@ -309,14 +311,14 @@
         let limit = self.options.law.as_ref().map_or(usize::MAX, Law::steady_limit) as f64;
         let used = self.use_sum / length / limit;
         let backlog = self.queue.len() as f64 / limit;
-        let error = if self.queue.len() == 0 { TARGET_USE - used } else { -backlog.min(1.0) * 0.2 };
+        let error = (1.0 - used) + TARGET_BACKLOG - backlog.min(1.0) * BACKLOG_ERROR;
         let is_limited = self.ranks.iter().any(|r| r.share < Share::FULL);
         if is_limited || error < 0.0 {
             self.gain = (self.gain * (1.0 + GAIN_STEP * error)).clamp(GAIN.0, GAIN.1);
         } else {
             self.gain += (1.0 - self.gain) * GAIN_STEP;
         }
-        let rate = limit / hold * TARGET_USE * self.gain;
+        let rate = limit / hold * self.gain;
         Some((rate, BACKLOG_WEIGHT * self.queue.len() as f64 / length))
     }
 
--- a/crates/poplartrail-core/src/gate/gradient.rs
+++ b/crates/poplartrail-core/src/gate/gradient.rs
@@ -35,7 +35,7 @@
 /// Calls that an experiment looks at.
 const EXPERIMENT_CALLS: u32 = 60;
 /// Shortest time between two experiments that nothing gives cause for.
-const EXPERIMENT_PAUSE: Duration = Duration::from_secs(10);
+const EXPERIMENT_PAUSE: Duration = Duration::from_secs(30);
 /// The same, as a multiple of the time that a call holds its place.
 const EXPERIMENT_PAUSE_HOLD: f64 = 40.0;
 /// Weight of an experiment in the baseline.
@@ -44,6 +44,8 @@
 const IDLE_WEIGHT: f64 = 0.1;
 /// Ratio of own time to the baseline that calls for an experiment, and replaces the baseline.
 const BREAK_RATIO: f64 = 1.5;
+/// Least fall of own time that is looked for, as a part of it.
+const LEAST_FALL: f64 = 0.1;
 /// Part of the expected fall of own time that shows queueing.
 const QUEUEING_PART: f64 = 0.5;
 /// Factor by which a ramp grows in each round.
@@ -138,7 +140,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Experiment {
     part_limit: usize,
-    own_before: f64,
+    /// The calls at the full limit, before the experiment.
+    before: Samples,
     calls: Cohort,
 }
 
@@ -209,7 +212,7 @@
             self.base = Some(base + IDLE_WEIGHT * (own - base));
         } else if own > allowed {
             self.is_ramping = false;
-            self.cut(allowed / own);
+            self.cut(1.0 - (own - allowed) / samples.mean_hold());
         } else {
             self.grow();
             let hold = samples.mean_hold() * EXPERIMENT_PAUSE_HOLD;
@@ -234,7 +237,7 @@
         let part_limit = (round.max_in_flight as f64 * EXPERIMENT_PART) as usize;
         self.experiment = Some(Experiment {
             part_limit: part_limit.max(1),
-            own_before: round.samples.mean(),
+            before: round.samples,
             calls: Cohort::new(self.next_turn, EXPERIMENT_CALLS),
         });
         self.experiment_at = now;
@@ -245,13 +248,18 @@
         self.experiment = None;
         let own = experiment.calls.samples.mean();
         let base = self.base.unwrap_or(own);
-        let fall = 1.0 - own / experiment.own_before;
-        let is_queueing = fall > QUEUEING_PART * (1.0 - EXPERIMENT_PART);
-        if is_queueing {
+        let before = &experiment.before;
+        let fall = before.mean() - own;
+        let noise = STANDARD_ERRORS * (experiment.calls.samples.error() + before.error());
+        // If all that was let out had queued, the own time falls by its part of the hold time,
+        // but not below the baseline.
+        let most = (1.0 - EXPERIMENT_PART) * before.mean_hold();
+        let expected = (before.mean() - base).clamp(LEAST_FALL * before.mean(), most);
+        if fall > QUEUEING_PART * expected + noise {
             // A rest of the queue may still be in this own time, so it only lowers the base.
             let lower = own.min(base);
             self.base = Some(base + EXPERIMENT_WEIGHT * (lower - base));
-            self.cut(own / experiment.own_before * TOLERANCE);
+            self.cut(1.0 - fall / before.mean_hold());
         } else {
             let is_break = own > base * BREAK_RATIO || own * BREAK_RATIO < base;
             let weight = if is_break { 1.0 } else { EXPERIMENT_WEIGHT };
