Tell a lost answer from an upstream that says it is overloaded

Cause: under lost answers and kills every limit ended at its first value of 8. A lost answer counted like the upstream's word that it is overloaded, which cuts the limit and ends its ramp. Change: three endings of a call; only the upstream's own word cuts. Tried and given up: rounds of 20 calls for a faster ramp. Left: one request with 4 retries for a bound of 3, 6 order violations in one flood.

--- a/crates/poplartrail-bench/src/lab/world.rs
+++ b/crates/poplartrail-bench/src/lab/world.rs
@@ -679,6 +679,8 @@
                 let node = self.firsts[service] + instance;
                 self.places[node].upstream.is_dead = false;
                 self.handle(node, Input::UpstreamRestarted);
+                let slots = self.graph.services[service].slots as u32;
+                self.handle(node, Input::UpstreamSlots { slots });
             }
             FaultKind::Silence { service, instance } => {
                 let node = self.firsts[service] + instance;
--- a/crates/poplartrail-core/src/engine/ending.rs
+++ b/crates/poplartrail-core/src/engine/ending.rs
@@ -9,6 +9,7 @@
         calls::Cx,
         live::{Live, Stage},
     },
+    gate::Ending,
     policy::RankIndex,
     route::GateReport,
     time::Time,
@@ -148,7 +149,7 @@
         }
         let Some(Stage::Running(call)) = self.take_stage(key) else { return };
         cx.out.push(Output::CancelDispatch { call: key });
-        self.complete(cx, key, call.state().at, false);
+        self.complete(cx, key, call.state().at, Ending::Answered);
         let outcome = call.lose(doubt);
         self.finish_lost(cx, key, outcome);
     }
--- a/crates/poplartrail-core/src/engine/returns.rs
+++ b/crates/poplartrail-core/src/engine/returns.rs
@@ -8,7 +8,7 @@
         CallKey, Calls, Output, PeerFault, PeerOutcome, UpstreamFault, arrivals::wait_after,
         calls::Cx, live::Stage,
     },
-    gate::{Completion, GateStep, Place},
+    gate::{Completion, Ending, GateStep, Place},
     route::GateReport,
 };
 
@@ -75,8 +75,12 @@
             }
             None => return,
         };
-        let is_fault = result.as_ref().map_or(true, Answer::is_overload);
-        self.complete(cx, key, call.state().at, is_fault);
+        let ending = match &result {
+            Ok(answer) if answer.is_overload() => Ending::Overloaded,
+            Ok(_) => Ending::Answered,
+            Err(_) => Ending::Lost,
+        };
+        self.complete(cx, key, call.state().at, ending);
         match result {
             Ok(answer) => {
                 if let Effect::Once(id) = call.context().effect {
@@ -108,14 +112,14 @@
         cx: &mut Cx<'_>,
         key: CallKey,
         at: crate::time::Time,
-        is_fault: bool,
+        ending: Ending,
     ) {
         let Some(live) = self.live.get_mut(key) else { return };
         let open =
             if live.children > 0 { cx.now.since(live.children_since) } else { Default::default() };
         let hold = cx.now.since(at);
         let own = hold.saturating_sub(live.children_time + open);
-        let done = Completion { hold, own, place: live.place, is_fault };
+        let done = Completion { hold, own, place: live.place, ending };
         let mut steps = Vec::new();
         self.gate.complete(cx.now, done, &mut steps);
         self.take_steps(cx, steps);
--- a/crates/poplartrail-core/src/gate/aimd.rs
+++ b/crates/poplartrail-core/src/gate/aimd.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    gate::{LimitLaw, Sample},
+    gate::{Ending, LimitLaw, Sample},
     time::Time,
 };
 
@@ -41,7 +41,7 @@
     }
 
     fn observe(&mut self, now: Time, sample: Sample) {
-        if sample.is_fault || self.is_slow(sample.own) {
+        if sample.ending != Ending::Answered || self.is_slow(sample.own) {
             if now.since(self.decreased_at) >= DECREASE_PAUSE {
                 self.limit = (self.limit * DECREASE).max(1.0);
                 self.decreased_at = now;
--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -5,7 +5,7 @@
 use crate::{
     call::{Draw, Refusal, Share},
     engine::CallKey,
-    gate::{Demand, Law, LimitLaw, Place, Sample, divide, queue::RankQueue},
+    gate::{Demand, Ending, Law, LimitLaw, Place, Sample, divide, queue::RankQueue},
     policy::{RankIndex, Ranks},
     time::Time,
 };
@@ -60,8 +60,8 @@
     pub own: Duration,
     /// The place that the call had.
     pub place: Place,
-    /// Whether the upstream said that it is overloaded, or did not answer.
-    pub is_fault: bool,
+    /// How the call ended.
+    pub ending: Ending,
 }
 
 /// Counts that show whether urgent work is shed last.
@@ -210,7 +210,7 @@
     pub fn complete(&mut self, now: Time, done: Completion, steps: &mut Vec<GateStep>) {
         self.note_use(now);
         self.in_flight = self.in_flight.saturating_sub(1);
-        if !done.is_fault {
+        if done.ending == Ending::Answered {
             let hold = done.hold.as_secs_f64();
             self.hold = Some(self.hold.map_or(hold, |old| old + HOLD_WEIGHT * (hold - old)));
         }
@@ -220,7 +220,7 @@
                 hold: done.hold,
                 turn: done.place.turn,
                 in_flight: done.place.in_flight,
-                is_fault: done.is_fault,
+                ending: done.ending,
             };
             law.observe(now, sample);
         }
--- a/crates/poplartrail-core/src/gate/gradient.rs
+++ b/crates/poplartrail-core/src/gate/gradient.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use crate::{
-    gate::{LimitLaw, Place, Sample},
+    gate::{Ending, LimitLaw, Place, Sample},
     time::Time,
 };
 
@@ -52,8 +52,8 @@
 const RAMP: f64 = 2.0;
 /// Part of the square root of the limit by which it grows after a ramp.
 const GROWTH: f64 = 0.5;
-/// Factor on a round in which more than one call in ten failed.
-const FAULT_CUT: f64 = 0.9;
+/// Factor on a round in which more than one call in ten was told of overload.
+const OVERLOAD_CUT: f64 = 0.9;
 /// Strongest cut of one round.
 const MAX_CUT: f64 = 0.6;
 /// Highest limit.
@@ -66,15 +66,17 @@
     squares: f64,
     hold: f64,
     count: u32,
-    faults: u32,
+    untimed: u32,
+    overloaded: u32,
 }
 
 impl Samples {
     fn add(&mut self, sample: &Sample) {
         self.count += 1;
-        if sample.is_fault {
+        if sample.ending != Ending::Answered {
             // How long a failure took says nothing about the work.
-            self.faults += 1;
+            self.untimed += 1;
+            self.overloaded += u32::from(sample.ending == Ending::Overloaded);
             return;
         }
         let own = sample.own.as_secs_f64();
@@ -89,7 +91,7 @@
 
     /// Number of samples with a time, at least 1.
     fn timed(&self) -> f64 {
-        f64::from((self.count - self.faults).max(1))
+        f64::from((self.count - self.untimed).max(1))
     }
 
     /// Mean time that a call held its place.
@@ -205,11 +207,14 @@
 
     fn judge_round(&mut self, now: Time, round: &Cohort) {
         let samples = &round.samples;
-        if samples.faults * 10 > samples.count {
-            self.cut(FAULT_CUT);
+        if samples.overloaded * 10 > samples.count {
+            self.cut(OVERLOAD_CUT);
             self.is_ramping = false;
             return;
         }
+        if samples.untimed == samples.count {
+            return;
+        }
         let own = samples.mean();
         let base = *self.base.get_or_insert(own);
         let allowed = base * TOLERANCE + STANDARD_ERRORS * samples.error();
--- a/crates/poplartrail-core/src/gate/law.rs
+++ b/crates/poplartrail-core/src/gate/law.rs
@@ -16,6 +16,17 @@
     pub in_flight: usize,
 }
 
+/// How a call in the upstream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// With an answer, whose time tells about the work.
+    Answered,
+    /// With the upstream's word that it is overloaded.
+    Overloaded,
+    /// Without an answer.
+    Lost,
+}
+
 /// What one finished call tells about the upstream.
 #[derive(Debug, Clone, Copy)]
 pub struct Sample {
@@ -27,8 +38,8 @@
     pub turn: u64,
     /// Calls in progress when this one was dispatched, itself included.
     pub in_flight: usize,
-    /// Whether the upstream said that it is overloaded, or did not answer.
-    pub is_fault: bool,
+    /// How the call ended.
+    pub ending: Ending,
 }
 
 /// A rule that sets the number of calls in progress from samples.
--- a/crates/poplartrail-core/src/gate/mod.rs
+++ b/crates/poplartrail-core/src/gate/mod.rs
@@ -17,6 +17,6 @@
 pub use fixed::Fixed;
 pub use gate_state::{Completion, Gate, GateOptions, GateStep, Offer, OrderCounts};
 pub use gradient::Gradient;
-pub use law::{Law, LimitLaw, Place, Sample};
+pub use law::{Ending, Law, LimitLaw, Place, Sample};
 pub use shares::{Demand, divide};
 pub use vegas::Vegas;
