--- a/crates/poplartrail-bench/src/bin/lab.rs
+++ b/crates/poplartrail-bench/src/bin/lab.rs
@@ -4,8 +4,8 @@
 use poplartrail_bench::{
     lab::{Graph, Tally},
     scenarios::{
-        Baseline, Hint, Limits, RetryRun, Trouble, deep, flood, ie_midlands, instance_trouble,
-        kept_before, overload, recover, retry_run, vn_south, with_hint,
+        Baseline, Hint, Limits, RetryRun, Trouble, bottom, deep, flood, ie_midlands, instance_trouble,
+        kept_before, overload, recover, retry_run, tight, vn_south, with_hint,
     },
 };
 
@@ -93,7 +93,7 @@
 }
 
 fn baselines() {
-    for (name, graph) in graphs() {
+    for (name, graph) in [("vn-south", vn_south()), ("bottom", bottom()), ("tight", tight())] {
         for baseline in Baseline::ALL {
             for times in [2.0, 10.0] {
                 let tally = baseline.apply(overload(&graph, times, SECONDS)).run();
--- a/crates/poplartrail-bench/src/lab/fake_upstream.rs
+++ b/crates/poplartrail-bench/src/lab/fake_upstream.rs
@@ -1,6 +1,6 @@
 //! An upstream with slots, a queue and random service times.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use poplartrail_core::{engine::CallKey, time::Time};
 
@@ -25,6 +25,8 @@
     pub(crate) loss: f64,
     busy: HashMap<CallKey, Job>,
     queue: VecDeque<(CallKey, Job)>,
+    /// Calls that are still in the queue and will be passed over.
+    withdrawn: HashSet<CallKey>,
 }
 
 impl FakeUpstream {
@@ -36,6 +38,7 @@
             loss: 0.0,
             busy: HashMap::new(),
             queue: VecDeque::new(),
+            withdrawn: HashSet::new(),
         }
     }
 
@@ -60,7 +63,7 @@
         if let Some(job) = self.busy.remove(&call) {
             return Some(job);
         }
-        self.queue.retain(|(queued, _)| *queued != call);
+        self.withdrawn.insert(call);
         None
     }
 
@@ -69,15 +72,21 @@
         if self.busy.len() >= self.slots {
             return None;
         }
-        let (call, job) = self.queue.pop_front()?;
-        self.busy.insert(call, Job { since: now, ..job });
-        Some(call)
+        loop {
+            let (call, job) = self.queue.pop_front()?;
+            if !self.withdrawn.remove(&call) {
+                self.busy.insert(call, Job { since: now, ..job });
+                return Some(call);
+            }
+        }
     }
 
     /// Drops everything, as after a kill.
     pub(crate) fn clear(&mut self) -> Vec<CallKey> {
         let mut lost: Vec<CallKey> = self.busy.drain().map(|(call, _)| call).collect();
         lost.extend(self.queue.drain(..).map(|(call, _)| call));
+        lost.retain(|call| !self.withdrawn.contains(call));
+        self.withdrawn.clear();
         lost.sort();
         lost
     }
--- a/crates/poplartrail-bench/src/lab/world.rs
+++ b/crates/poplartrail-bench/src/lab/world.rs
@@ -215,6 +215,8 @@
     waiters: HashMap<Ticket, Waiter>,
     /// Tickets of calls between nodes, by their sender.
     sent: HashMap<(usize, CallKey, u32), (usize, Ticket)>,
+    /// Tickets of upstreams' outbound calls, by the call that they work on.
+    below: HashMap<(usize, CallKey), Ticket>,
     next_ticket: u64,
     random: SmallRng,
     tally: Tally,
@@ -274,6 +276,7 @@
             schedule: Schedule::new(),
             waiters: HashMap::new(),
             sent: HashMap::new(),
+            below: HashMap::new(),
             next_ticket: 0,
             random: SmallRng::seed_from_u64(options.seed),
             tally: Tally::new(options.ranks.len()),
@@ -520,6 +523,7 @@
                 self.end_request(load, request, tries, entered, &outcome);
             }
             Some(Waiter::Upstream { node, call }) => {
+                self.below.remove(&(node, call));
                 let is_whole = matches!(&outcome, Outcome::Answered(answer) if answer.is_success());
                 self.answer(node, call, if is_whole { 200 } else { 502 });
             }
@@ -608,6 +612,7 @@
         }
         let service = service_name(place.service + 1);
         let ticket = self.ticket(Port::Ingress, Waiter::Upstream { node, call });
+        self.below.insert((node, call), ticket);
         let arrival = Arrival {
             ticket,
             origin: Origin::Upstream { parent: Some(call) },
@@ -653,13 +658,7 @@
     fn cancel_dispatch(&mut self, node: usize, call: CallKey) {
         self.end_job(node, call);
         // The upstream drops its outbound call with the inbound one.
-        let below: Vec<Ticket> = self
-            .waiters
-            .iter()
-            .filter(|(_, w)| matches!(w, Waiter::Upstream { node: n, call: c } if *n == node && *c == call))
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        for ticket in below {
+        if let Some(ticket) = self.below.remove(&(node, call)) {
             self.waiters.remove(&ticket);
             self.later(Duration::ZERO, node, Input::CallerLeft(ticket));
         }
--- a/crates/poplartrail-bench/src/scenarios/baselines.rs
+++ b/crates/poplartrail-bench/src/scenarios/baselines.rs
@@ -1,5 +1,7 @@
 //! What the decisions are compared with.
 
+use std::time::Duration;
+
 use poplartrail_core::{
     engine::Mechanisms,
     gate::{Aimd, Fixed, Gradient, Law, Vegas},
@@ -7,6 +9,8 @@
 
 use crate::lab::LabBuilder;
 
+/// Own time over which a call is slow for AIMD; four times the mean of most services.
+const AIMD_THRESHOLD: Duration = Duration::from_millis(200);
 /// First limit of the laws that are compared.
 const FIRST_LIMIT: usize = 32;
 
@@ -92,7 +96,7 @@
     pub fn law(self) -> Law {
         match self {
             Limits::Fixed => Law::Fixed(Fixed::new(100)),
-            Limits::Aimd => Law::Aimd(Aimd::new(FIRST_LIMIT)),
+            Limits::Aimd => Law::Aimd(Aimd::new(FIRST_LIMIT, AIMD_THRESHOLD)),
             Limits::Vegas => Law::Vegas(Vegas::new(FIRST_LIMIT)),
             Limits::Gradient => Law::Gradient(Gradient::new(FIRST_LIMIT)),
         }
--- a/crates/poplartrail-bench/src/scenarios/graphs.rs
+++ b/crates/poplartrail-bench/src/scenarios/graphs.rs
@@ -71,6 +71,25 @@
     Graph { services, hop: Duration::from_micros(1_500) }
 }
 
+/// A chain of 22 services whose last one takes less than half of what the entry takes.
+pub fn bottom() -> Graph {
+    let mut graph = deep();
+    graph.services[..21].iter_mut().for_each(|service| service.slots = 250);
+    graph
+}
+
+/// A chain of 22 services that all take the same number of requests a second.
+pub fn tight() -> Graph {
+    let mut graph = deep();
+    let instances = 3.0;
+    let mut hold = 0.1;
+    for service in graph.services[..21].iter_mut().rev() {
+        hold += 0.01 + 2.0 * graph.hop.as_secs_f64();
+        service.slots = (750.0 * hold / instances) as usize;
+    }
+    graph
+}
+
 /// Shares of the ranks in an ordinary mix.
 const MIX: [f64; 5] = [0.05, 0.05, 0.3, 0.3, 0.3];
 
--- /dev/null
+++ b/crates/poplartrail-bench/tests/retry_bound.rs
@@ -0,0 +1,34 @@
+//! Retries of one request over its whole chain.
+
+use poplartrail_bench::scenarios::{Baseline, RetryRun, retry_run, vn_south};
+use test_case::test_case;
+
+/// Requests over all seeds.
+const REQUESTS: u64 = 100_000;
+/// Seconds of one run.
+const SECONDS: u64 = 25;
+
+#[test_case(0; "no retry")]
+#[test_case(1; "one retry")]
+#[test_case(3; "three retries")]
+fn stays_in_bound(bound: u8) {
+    let mut requests = 0;
+    let mut retries = 0;
+    let mut seed = 1;
+    while requests < REQUESTS {
+        let run = RetryRun { bound, seconds: SECONDS, seed };
+        let tally = retry_run(&vn_south(), run, Baseline::Full);
+        assert!(tally.max_retries <= u32::from(bound), "{} of {bound}", tally.max_retries);
+        requests += tally.offered();
+        retries += tally.retries;
+        seed += 1;
+    }
+    assert_eq!(retries > 0, bound > 0, "the faults call for retries");
+}
+
+#[test]
+fn breaks_bound_without_shared_budget() {
+    let run = RetryRun { bound: 1, seconds: SECONDS, seed: 1 };
+    let tally = retry_run(&vn_south(), run, Baseline::IndependentRetries);
+    assert!(tally.max_retries > 1, "{}", tally.max_retries);
+}
--- /dev/null
+++ b/crates/poplartrail-bench/tests/whole_goodput.rs
@@ -0,0 +1,50 @@
+//! Goodput of whole requests under overload, and the slot time that failed requests cost.
+
+use poplartrail_bench::{
+    lab::Graph,
+    scenarios::{Baseline, deep, ie_midlands, overload, vn_south},
+};
+use test_case::test_case;
+
+/// Seconds that a run counts.
+const SECONDS: u64 = 12;
+/// Goodput at twice the capacity, as a part of it.
+const AT_TWICE: f64 = 0.95;
+/// Goodput at ten times the capacity, as a part of it.
+const AT_TEN_TIMES: f64 = 0.90;
+/// Share of slot time for requests that fail, at twice the capacity.
+const WASTED: f64 = 0.05;
+
+fn goodput(graph: &Graph, times: f64, baseline: Baseline) -> (f64, f64) {
+    let tally = baseline.apply(overload(graph, times, SECONDS)).run();
+    (tally.whole() as f64 / SECONDS as f64 / graph.capacity(), tally.wasted_share())
+}
+
+#[test_case(&vn_south(); "vn south")]
+#[test_case(&ie_midlands(); "ie midlands")]
+#[test_case(&deep(); "chain of 22")]
+fn twice_capacity(graph: &Graph) {
+    let (goodput, wasted) = goodput(graph, 2.0, Baseline::Full);
+    assert!(goodput >= AT_TWICE, "goodput {goodput:.3}");
+    assert!(wasted <= WASTED, "wasted {wasted:.3}");
+}
+
+#[test_case(&vn_south(), 5.0; "vn south 5 times")]
+#[test_case(&vn_south(), 10.0; "vn south 10 times")]
+#[test_case(&ie_midlands(), 5.0; "ie midlands 5 times")]
+#[test_case(&ie_midlands(), 10.0; "ie midlands 10 times")]
+#[test_case(&deep(), 5.0; "chain of 22 5 times")]
+#[test_case(&deep(), 10.0; "chain of 22 10 times")]
+fn many_times_capacity(graph: &Graph, times: f64) {
+    let (goodput, _) = goodput(graph, times, Baseline::Full);
+    assert!(goodput >= AT_TEN_TIMES, "goodput {goodput:.3}");
+}
+
+#[test_case(Baseline::NoLimit; "no limit")]
+#[test_case(Baseline::StaticLimit(100); "static limit")]
+#[test_case(Baseline::IndependentShedding; "independent shedding")]
+fn misses_without(baseline: Baseline) {
+    let graph = deep();
+    let (without, wasted) = goodput(&graph, 10.0, baseline);
+    assert!(without < AT_TEN_TIMES || wasted > WASTED, "goodput {without:.3} wasted {wasted:.3}");
+}
--- a/crates/poplartrail-core/src/engine/arrivals.rs
+++ b/crates/poplartrail-core/src/engine/arrivals.rs
@@ -19,7 +19,7 @@
     keys::{IdempotencyKey, KeyVerdict, Known},
     names::VmName,
     policy::RankIndex,
-    route::GateReport,
+    route::{GateReport, Standing},
     time::Time,
 };
 
@@ -170,7 +170,7 @@
         if !is_counted {
             return Ok(full);
         }
-        if states_identity && !self.counts_retries_of(now, arrival.request) {
+        if states_identity && !self.counts_retries_of(arrival.request) {
             return Ok(RetryBudget::default());
         }
         self.repeats.begin(now, arrival.request, full).ok_or(Refusal::RepeatsSpent)
@@ -180,7 +180,7 @@
     ///
     /// A caller may repeat a request through any node, so one node alone gives it retries:
     /// the one with the highest hash of the two (Thaler and Ravishankar, 1998).
-    fn counts_retries_of(&self, now: Time, request: RequestId) -> bool {
+    fn counts_retries_of(&self, request: RequestId) -> bool {
         let weight = |vm: &VmName| {
             XxHash3_64::oneshot_with_seed(
                 request.0 as u64 ^ (request.0 >> 64) as u64,
@@ -190,7 +190,7 @@
         let own = weight(&self.me.vm);
         self.router
             .of_service(&self.me.service)
-            .filter(|(_, instance)| instance.is_open(now))
+            .filter(|(_, instance)| instance.standing == Standing::Serving)
             .all(|(_, instance)| weight(&instance.vm) < own)
     }
 
--- a/crates/poplartrail-core/src/gate/aimd.rs
+++ b/crates/poplartrail-core/src/gate/aimd.rs
@@ -11,8 +11,6 @@
 const DECREASE: f64 = 0.9;
 /// Shortest time between two decreases.
 const DECREASE_PAUSE: Duration = Duration::from_millis(100);
-/// Threshold as a multiple of the smallest own time seen.
-const THRESHOLD: f64 = 3.0;
 /// Highest limit.
 const MAX_LIMIT: f64 = 10_000.0;
 
@@ -20,18 +18,14 @@
 #[derive(Debug, Clone)]
 pub struct Aimd {
     limit: f64,
-    smallest: Option<Duration>,
+    threshold: Duration,
     decreased_at: Time,
 }
 
 impl Aimd {
-    /// Starts from `initial` calls in progress.
-    pub fn new(initial: usize) -> Self {
-        Self { limit: initial.max(1) as f64, smallest: None, decreased_at: Time::ZERO }
-    }
-
-    fn is_slow(&self, own: Duration) -> bool {
-        self.smallest.is_some_and(|least| own > least.mul_f64(THRESHOLD))
+    /// Starts from `initial` calls in progress; a call over `threshold` is slow.
+    pub fn new(initial: usize, threshold: Duration) -> Self {
+        Self { limit: initial.max(1) as f64, threshold, decreased_at: Time::ZERO }
     }
 }
 
@@ -41,7 +35,7 @@
     }
 
     fn observe(&mut self, now: Time, sample: Sample) {
-        if sample.ending != Ending::Answered || self.is_slow(sample.own) {
+        if sample.ending != Ending::Answered || sample.own > self.threshold {
             if now.since(self.decreased_at) >= DECREASE_PAUSE {
                 self.limit = (self.limit * DECREASE).max(1.0);
                 self.decreased_at = now;
@@ -49,6 +43,5 @@
         } else if sample.in_flight as f64 >= self.limit * 0.9 {
             self.limit = (self.limit + 1.0 / self.limit).min(MAX_LIMIT);
         }
-        self.smallest = Some(self.smallest.map_or(sample.own, |least| least.min(sample.own)));
     }
 }
--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -198,7 +198,7 @@
             return;
         }
         if let Some(evicted) = self.queue.push(now, offer) {
-            if evicted.call == offer.call && self.is_urgent(offer.rank) {
+            if self.is_urgent(evicted.rank) {
                 self.protect_urgent(now, steps);
             }
             self.shed(&evicted, Refusal::QueueFull, steps);
--- a/crates/poplartrail-core/src/gate/gradient.rs
+++ b/crates/poplartrail-core/src/gate/gradient.rs
@@ -119,20 +119,23 @@
 }
 
 impl Cohort {
-    fn new(first: u64, size: u32) -> Self {
-        Self { first, size, sent: 0, at_limit: 0, max_in_flight: 0, samples: Samples::default() }
+    fn new(size: u32) -> Self {
+        Self { first: 0, size, sent: 0, at_limit: 0, max_in_flight: 0, samples: Samples::default() }
     }
 
-    fn dispatched(&mut self, in_flight: usize, limit: f64) {
+    fn dispatched(&mut self, place: Place, limit: f64) {
         if self.sent < self.size {
+            if self.sent == 0 {
+                self.first = place.turn;
+            }
             self.sent += 1;
-            self.at_limit += u32::from(in_flight as f64 >= limit * AT_LIMIT);
-            self.max_in_flight = self.max_in_flight.max(in_flight);
+            self.at_limit += u32::from(place.in_flight as f64 >= limit * AT_LIMIT);
+            self.max_in_flight = self.max_in_flight.max(place.in_flight);
         }
     }
 
     fn observe(&mut self, sample: &Sample) {
-        let last = self.first + u64::from(self.size);
+        let last = self.first + u64::from(self.sent);
         if (self.first..last).contains(&sample.turn) {
             self.samples.add(sample);
         }
@@ -169,7 +172,6 @@
     limit: f64,
     base: Option<f64>,
     is_ramping: bool,
-    next_turn: u64,
     round: Cohort,
     experiment: Option<Experiment>,
     experiment_at: Time,
@@ -182,8 +184,7 @@
             limit: initial.max(1) as f64,
             base: None,
             is_ramping: true,
-            next_turn: 0,
-            round: Cohort::new(0, ROUND_CALLS),
+            round: Cohort::new(ROUND_CALLS),
             experiment: None,
             experiment_at: Time::ZERO,
         }
@@ -196,7 +197,7 @@
 
     fn begin_round(&mut self) {
         let size = (self.limit as u32).clamp(ROUND_CALLS, MAX_ROUND_CALLS);
-        self.round = Cohort::new(self.next_turn, size);
+        self.round = Cohort::new(size);
     }
 
     fn end_round(&mut self, now: Time) {
@@ -252,7 +253,7 @@
         self.experiment = Some(Experiment {
             part_limit: part_limit.max(1),
             before: round.samples,
-            calls: Cohort::new(self.next_turn, EXPERIMENT_CALLS),
+            calls: Cohort::new(EXPERIMENT_CALLS),
         });
         self.experiment_at = now;
     }
@@ -296,10 +297,9 @@
     }
 
     fn dispatched(&mut self, place: Place) {
-        self.next_turn = place.turn + 1;
         match &mut self.experiment {
-            Some(experiment) => experiment.calls.dispatched(place.in_flight, self.limit),
-            None => self.round.dispatched(place.in_flight, self.limit),
+            Some(experiment) => experiment.calls.dispatched(place, self.limit),
+            None => self.round.dispatched(place, self.limit),
         }
     }
 
