Let a small limit grow, and doubt a baseline that holds it down

Ruled out by a trace of cuts and experiments: a wrong baseline there (one cut only). Change: a call counts as at the limit from 80% of it; requests that have begun get a slack of a sixth over a gate's share; few calls of a rank in an interval count for little.

--- a/crates/poplartrail-bench/src/bin/lab.rs
+++ b/crates/poplartrail-bench/src/bin/lab.rs
@@ -4,8 +4,8 @@
 use poplartrail_bench::{
     lab::{Graph, Tally},
     scenarios::{
-        Baseline, Hint, Limits, RetryRun, Trouble, bottom, deep, flood, ie_midlands, instance_trouble,
-        kept_before, overload, recover, retry_run, tight, vn_south, with_hint,
+        Baseline, Hint, Limits, RetryRun, Trouble, bottom, deep, flood, ie_midlands,
+        instance_trouble, kept_before, overload, recover, retry_run, tight, vn_south, with_hint,
     },
 };
 
--- /dev/null
+++ b/crates/poplartrail-bench/tests/instance_loss.rs
@@ -0,0 +1,15 @@
+//! An upstream that is killed and comes back, and connections that fall silent.
+
+use poplartrail_bench::scenarios::{instance_trouble, vn_south};
+use test_case::test_case;
+
+/// Seconds that a run counts.
+const SECONDS: u64 = 12;
+
+#[test_case(false; "killed and back")]
+#[test_case(true; "silent")]
+fn loses_no_request(is_silence: bool) {
+    let tally = instance_trouble(&vn_south(), is_silence, SECONDS).run();
+    assert!(tally.retries > 0, "the trouble calls for retries");
+    assert_eq!(tally.whole(), tally.offered());
+}
--- a/crates/poplartrail-bench/tests/whole_goodput.rs
+++ b/crates/poplartrail-bench/tests/whole_goodput.rs
@@ -2,7 +2,7 @@
 
 use poplartrail_bench::{
     lab::Graph,
-    scenarios::{Baseline, deep, ie_midlands, overload, vn_south},
+    scenarios::{Baseline, bottom, deep, ie_midlands, overload, vn_south},
 };
 use test_case::test_case;
 
@@ -44,7 +44,13 @@
 #[test_case(Baseline::StaticLimit(100); "static limit")]
 #[test_case(Baseline::IndependentShedding; "independent shedding")]
 fn misses_without(baseline: Baseline) {
-    let graph = deep();
-    let (without, wasted) = goodput(&graph, 10.0, baseline);
-    assert!(without < AT_TEN_TIMES || wasted > WASTED, "goodput {without:.3} wasted {wasted:.3}");
+    let (without, wasted) = goodput(&vn_south(), 2.0, baseline);
+    assert!(without < AT_TWICE || wasted > WASTED, "goodput {without:.3} wasted {wasted:.3}");
+}
+
+#[test]
+fn path_shares_save_work() {
+    let wasted = |baseline| goodput(&bottom(), 10.0, baseline).1;
+    let (with, without) = (wasted(Baseline::Full), wasted(Baseline::NoPathShares));
+    assert!(with < without, "wasted {with:.3} and {without:.3}");
 }
--- a/crates/poplartrail-core/src/call/share.rs
+++ b/crates/poplartrail-core/src/call/share.rs
@@ -18,6 +18,9 @@
     }
 }
 
+/// Part of a share that is added for requests that have begun.
+const SLACK_PART: u32 = 6;
+
 /// Fraction of a rank's requests that a gate admits, in parts of 65 536.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Share(u32);
@@ -48,6 +51,14 @@
         f64::from(self.0) / f64::from(Self::FULL.0)
     }
 
+    /// A slightly larger share, for requests on which work has been spent already.
+    ///
+    /// The share of a deep gate moves while it travels up to the entry; the slack keeps requests
+    /// that the entry let in under the last one.
+    pub fn with_slack(self) -> Self {
+        Self::from_parts(self.0 + self.0 / SLACK_PART)
+    }
+
     /// Whether a request at position `draw` passes.
     pub fn admits(self, draw: Draw) -> bool {
         u32::from(draw.0) < self.0
--- a/crates/poplartrail-core/src/engine/arrivals.rs
+++ b/crates/poplartrail-core/src/engine/arrivals.rs
@@ -353,7 +353,13 @@
         let draw = self.draw_of(call.context().request);
         let begins_here = call.context().depth == 0;
         let call = call.admit();
-        let offer = Offer { call: key, rank, draw, deadline: call.context().deadline };
+        let offer = Offer {
+            call: key,
+            rank,
+            draw,
+            deadline: call.context().deadline,
+            is_begun: !begins_here,
+        };
         self.live[key].stage = Stage::Waiting(call);
         let mut steps = Vec::new();
         let is_shed_below = begins_here
--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -10,8 +10,12 @@
     time::Time,
 };
 
-/// Weight of the newest interval in the averages of demand.
+/// Highest weight of the newest interval in the averages of demand.
 const DEMAND_WEIGHT: f64 = 0.5;
+/// Calls of one rank in an interval from which it has that weight.
+const DEMAND_CALLS: f64 = 20.0;
+/// Lowest weight of an interval.
+const DEMAND_MIN_WEIGHT: f64 = 0.2;
 /// Weight of one call in the average time that it holds its place.
 const HOLD_WEIGHT: f64 = 0.02;
 /// Waiting calls, as a fraction of the places, that keep the places filled.
@@ -40,6 +44,8 @@
     pub draw: Draw,
     /// The point after which nobody waits for the answer.
     pub deadline: Time,
+    /// Whether other services have worked on the request already.
+    pub is_begun: bool,
 }
 
 /// What becomes of a call.
@@ -187,7 +193,8 @@
         let state = &mut self.ranks[offer.rank.index()];
         state.arrived += 1;
         if self.options.has_shares {
-            if !state.share.admits(offer.draw) {
+            let share = if offer.is_begun { state.share.with_slack() } else { state.share };
+            if !share.admits(offer.draw) {
                 self.shed(&offer, Refusal::Overload, steps);
                 return;
             }
@@ -329,7 +336,10 @@
 
     fn evict_outside_share(&mut self, steps: &mut Vec<GateStep>) {
         let ranks = &self.ranks;
-        let over = self.queue.drain_if(|offer| !ranks[offer.rank.index()].share.admits(offer.draw));
+        let over = self.queue.drain_if(|offer| {
+            let share = ranks[offer.rank.index()].share;
+            !if offer.is_begun { share.with_slack() } else { share }.admits(offer.draw)
+        });
         for offer in &over {
             self.shed(offer, Refusal::Overload, steps);
         }
@@ -387,7 +397,9 @@
         } else {
             f64::from(self.arrived)
         };
-        self.rate += DEMAND_WEIGHT * (whole / length - self.rate);
+        // Few calls tell little, so their interval counts for little.
+        let weight = (f64::from(self.arrived) / DEMAND_CALLS).clamp(DEMAND_MIN_WEIGHT, 1.0);
+        self.rate += DEMAND_WEIGHT * weight * (whole / length - self.rate);
     }
 
     fn move_share(&mut self, target: Share) {
--- a/crates/poplartrail-core/src/gate/gradient.rs
+++ b/crates/poplartrail-core/src/gate/gradient.rs
@@ -23,7 +23,7 @@
 /// Part of a round's calls that were dispatched at the limit, from which the round is full.
 const FULL_PART: f64 = 0.5;
 /// Part of the limit from which a call counts as dispatched at the limit.
-const AT_LIMIT: f64 = 0.95;
+const AT_LIMIT: f64 = 0.8;
 /// Rise of own time over the baseline that is not taken for queueing.
 const TOLERANCE: f64 = 1.08;
 /// Standard errors of a round's mean that are not taken for queueing either.
@@ -36,6 +36,8 @@
 const EXPERIMENT_CALLS: u32 = 60;
 /// Shortest time between two experiments that nothing gives cause for.
 const EXPERIMENT_PAUSE: Duration = Duration::from_secs(30);
+/// Shortest time between two experiments when a round shows queueing.
+const DOUBT_PAUSE: Duration = Duration::from_secs(15);
 /// The same, as a multiple of the time that a call holds its place.
 const EXPERIMENT_PAUSE_HOLD: f64 = 40.0;
 /// Weight of an experiment in the baseline.
@@ -227,17 +229,28 @@
             self.base = Some(base + IDLE_WEIGHT * (own - base));
         } else if own > allowed {
             self.is_ramping = false;
-            self.cut(1.0 - (own - allowed) / samples.mean_hold());
+            if self.is_due(now, samples, DOUBT_PAUSE) {
+                // A baseline that is too low would hold the limit down for ever.
+                self.begin_experiment(now, round);
+            } else {
+                self.cut(1.0 - (own - allowed) / samples.mean_hold());
+            }
         } else {
             self.grow();
-            let hold = samples.mean_hold() * EXPERIMENT_PAUSE_HOLD;
-            let pause = EXPERIMENT_PAUSE.max(Duration::from_secs_f64(hold));
-            if !self.is_ramping && now.since(self.experiment_at) >= pause {
+            if !self.is_ramping && self.is_due(now, samples, EXPERIMENT_PAUSE) {
                 self.begin_experiment(now, round);
             }
         }
     }
 
+    /// Whether `pause`, which grows with the time that calls hold their places, has passed since
+    /// the last experiment.
+    fn is_due(&self, now: Time, samples: &Samples, pause: Duration) -> bool {
+        let holds = pause.as_secs_f64() / EXPERIMENT_PAUSE.as_secs_f64() * EXPERIMENT_PAUSE_HOLD;
+        let pause = pause.max(Duration::from_secs_f64(samples.mean_hold() * holds));
+        now.since(self.experiment_at) >= pause
+    }
+
     fn cut(&mut self, factor: f64) {
         self.limit = (self.limit * factor.clamp(MAX_CUT, 1.0)).max(1.0);
     }
--- a/crates/poplartrail-core/src/route/router.rs
+++ b/crates/poplartrail-core/src/route/router.rs
@@ -164,7 +164,7 @@
         }
         let mut admitting: Vec<_> = open
             .iter()
-            .filter(|(_, i)| !self.uses_shares || i.share(now, rank).admits(draw))
+            .filter(|(_, i)| !self.uses_shares || i.share(now, rank).with_slack().admits(draw))
             .copied()
             .collect();
         if admitting.is_empty() {
