Fold leases safely when the log has lost its beginning

Cause: a property test (late_reader_claims_nothing_held, seed 7) found a reader that took a held slot for free: it had missed the beginning of the stream, believed a renewal that came too late to be valid, and then judged the true holder's claim by it. Two holders could have followed. Tried first and given up: not believing claims for two of the longest terms. A claim just before the end of that time was still overlooked. Change: a record that cannot be judged keeps its slot from being free for as long as the record could make it held; a lease whose claim was never seen is marked as a guess.

--- a/crates/poplartrail-core/src/keys/leases.rs
+++ b/crates/poplartrail-core/src/keys/leases.rs
@@ -56,16 +56,21 @@
     pub until: WallTime,
     /// Mint times that the holder accepts.
     pub epoch: Epoch,
+    /// Whether its claim is among the records that are gone.
+    is_guess: bool,
 }
 
 /// Leases of all slots of one service, folded from the log.
 ///
 /// Each record is judged by the log's own timestamp, so every node that reads the same records
-/// comes to the same result. If the oldest records are gone, claims are not believed until
-/// every lease from before them must have been renewed or have run out.
+/// comes to the same result. If the oldest records are gone, a reader cannot judge a claim or a
+/// renewal of a slot until every lease from before must have run out. Until then it takes the
+/// slot for held by whoever renews it, and each record that it cannot judge keeps the slot from
+/// being free for as long as the record could make it held.
 #[derive(Debug, Clone, Default)]
 pub struct LeaseTable {
     leases: HashMap<Home, Lease>,
+    doubts: HashMap<Home, WallTime>,
     trusted_from: WallTime,
 }
 
@@ -82,7 +87,18 @@
 
     /// Whether nobody holds `home` at the log's time `at`.
     pub fn is_free(&self, home: &Home, at: WallTime) -> bool {
-        at >= self.trusted_from && self.leases.get(home).is_none_or(|lease| lease.until <= at)
+        !self.is_in_doubt(home, at) && self.leases.get(home).is_none_or(|lease| lease.until <= at)
+    }
+
+    /// Whether records of `home` at `at` cannot be judged.
+    fn is_in_doubt(&self, home: &Home, at: WallTime) -> bool {
+        at < self.trusted_from || self.doubts.get(home).is_some_and(|until| at < *until)
+    }
+
+    /// Notes a record that cannot be judged and may have made its sender the holder.
+    fn doubt(&mut self, home: &Home, next: &Term<'_>) {
+        let until = self.doubts.entry(home.clone()).or_default();
+        *until = (*until).max(next.at + next.terms.term);
     }
 
     /// Homes held by `holder` at the log's time `at`.
@@ -117,27 +133,38 @@
 
     fn claim(&mut self, home: &Home, next: &Term<'_>) -> bool {
         if !self.is_free(home, next.at) {
+            let is_guess = self.leases.get(home).is_some_and(|lease| lease.is_guess);
+            if is_guess || self.is_in_doubt(home, next.at) {
+                self.doubt(home, next);
+            }
             return false;
         }
         let floor = match self.leases.get(home) {
-            Some(last) => last.epoch.ceiling,
+            Some(last) if !last.is_guess => last.epoch.ceiling,
             // What a forgotten holder accepted ends at most one skew after its lease.
-            None if self.trusted_from > WallTime::default() => next.at + MAX_SKEW,
-            None => next.at,
+            _ if self.trusted_from > WallTime::default() => next.at + MAX_SKEW,
+            _ => next.at,
         };
-        self.leases.insert(home.clone(), next.lease(floor));
+        self.leases.insert(home.clone(), next.lease(floor, false));
         true
     }
 
     fn renew(&mut self, home: &Home, next: &Term<'_>) -> bool {
-        let floor = match self.leases.get(home) {
+        let is_in_doubt = self.is_in_doubt(home, next.at);
+        let (floor, is_guess) = match self.leases.get(home) {
             Some(lease) if lease.is_held_by(next.holder, next.incarnation, next.at) => {
-                lease.epoch.floor
+                (lease.epoch.floor, lease.is_guess)
+            }
+            Some(lease) if lease.until > next.at => {
+                if lease.is_guess || is_in_doubt {
+                    self.doubt(home, next);
+                }
+                return false;
             }
-            None if next.at < self.trusted_from => next.at,
+            _ if is_in_doubt => (next.at, true),
             _ => return false,
         };
-        self.leases.insert(home.clone(), next.lease(floor));
+        self.leases.insert(home.clone(), next.lease(floor, is_guess));
         true
     }
 
@@ -175,7 +202,7 @@
 }
 
 impl Term<'_> {
-    fn lease(&self, floor: WallTime) -> Lease {
+    fn lease(&self, floor: WallTime, is_guess: bool) -> Lease {
         let until = self.at + self.terms.term;
         let ceiling = (until + self.terms.skew).max(floor);
         Lease {
@@ -183,6 +210,7 @@
             incarnation: self.incarnation,
             until,
             epoch: Epoch { floor, ceiling },
+            is_guess,
         }
     }
 }
--- /dev/null
+++ b/crates/poplartrail-core/tests/key_epochs.rs
@@ -0,0 +1,151 @@
+//! At most one holder may ever accept a key, under any order of claims, renewals and releases.
+
+use std::time::Duration;
+
+use poplartrail_core::{
+    keys::{Home, IdempotencyKey, KeyVerdict, LeaseChange, LeaseTable, LeaseTerms, Slot},
+    names::{VmName, ZoneName},
+    time::WallTime,
+};
+use proptest::prelude::*;
+use test_case::test_case;
+
+const START: u64 = 1_800_000_000_000;
+const TERMS: LeaseTerms =
+    LeaseTerms { term: Duration::from_secs(10), skew: Duration::from_secs(2) };
+
+/// One record of the log: who, what, and the time since the last record.
+#[derive(Debug, Clone)]
+struct Record {
+    who: usize,
+    what: u8,
+    gap_ms: u64,
+    accepted_ms: u64,
+}
+
+fn records() -> impl Strategy<Value = Vec<Record>> {
+    let record = (0usize..3, 0u8..3, 0u64..9_000, 0u64..14_000)
+        .prop_map(|(who, what, gap_ms, accepted_ms)| Record { who, what, gap_ms, accepted_ms });
+    prop::collection::vec(record, 1..60)
+}
+
+fn home() -> Home {
+    Home { zone: ZoneName::new("zone-a").unwrap(), slot: Slot(0) }
+}
+
+fn vm(who: usize) -> VmName {
+    VmName::new(format!("vm-{who}")).unwrap()
+}
+
+/// Which mint times each holder has accepted so far, to the millisecond, checked for overlap.
+fn accepted_by_two(records: &[Record]) -> Option<u64> {
+    let mut table = LeaseTable::default();
+    let mut at = START;
+    // A holder may accept any key that its epoch allows at any moment, however late it looks.
+    let mut spans: Vec<(usize, u64, u64)> = Vec::new();
+    for record in records {
+        at += record.gap_ms;
+        let now = WallTime::from_millis(at);
+        let accepted = table.get(&home()).map_or(now, |lease| {
+            // A holder knows the latest key that it accepted; it lies within its epoch.
+            let (low, high) = (lease.epoch.floor.as_millis(), lease.epoch.ceiling.as_millis());
+            WallTime::from_millis((low + record.accepted_ms).min(high))
+        });
+        let change = match record.what {
+            0 => LeaseChange::Claim,
+            1 => LeaseChange::Renew,
+            _ => LeaseChange::Release { accepted },
+        };
+        let is_release = record.what == 2;
+        let took = table.apply(now, &home(), &vm(record.who), 1, TERMS, change);
+        if !took {
+            continue;
+        }
+        let lease = table.get(&home()).expect("a record that took effect leaves a lease");
+        let span = (record.who, lease.epoch.floor.as_millis(), lease.epoch.ceiling.as_millis());
+        match spans.last_mut() {
+            // The holder stops accepting before it appends its release.
+            Some(last) if last.0 == record.who && (is_release || last.1 == span.1) => *last = span,
+            _ => spans.push(span),
+        }
+    }
+    spans.windows(2).find(|pair| pair[1].1 < pair[0].2).map(|pair| pair[1].1)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 5_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn epochs_never_overlap(records in records()) {
+        prop_assert_eq!(accepted_by_two(&records), None);
+    }
+
+    /// A reader that missed the beginning takes no slot for free that somebody holds.
+    #[test]
+    fn late_reader_claims_nothing_held(records in records(), cut in 0usize..60) {
+        let terms = LeaseTerms { term: Duration::from_secs(1_800), ..TERMS };
+        let mut whole = LeaseTable::default();
+        let mut late = LeaseTable::default();
+        let mut holders = vec![None; 3];
+        let mut at = START;
+        for (turn, record) in records.iter().enumerate() {
+            at += record.gap_ms * 100;
+            let now = WallTime::from_millis(at);
+            // A node renews what it held when it last read the log, up to two records ago.
+            let change = if record.what == 0 { LeaseChange::Claim } else { LeaseChange::Renew };
+            let believes = holders[holders.len() - 1 - record.who % 3];
+            let who = if record.what == 0 { Some(record.who) } else { believes };
+            if turn == cut {
+                late.note_gap(now);
+            }
+            if let Some(who) = who {
+                whole.apply(now, &home(), &vm(who), 1, terms, change);
+                if turn >= cut {
+                    late.apply(now, &home(), &vm(who), 1, terms, change);
+                }
+            }
+            let holder = whole.get(&home()).filter(|lease| lease.until > now);
+            holders.push(holder.map(|lease| (0..3).find(|&who| lease.holder == vm(who)).unwrap()));
+            if turn >= cut && late.is_free(&home(), now) {
+                prop_assert!(whole.is_free(&home(), now), "claimed while held");
+            }
+        }
+    }
+}
+
+#[test_case(0, KeyVerdict::Forgotten; "minted before the claim")]
+#[test_case(1, KeyVerdict::Own; "minted after the claim")]
+#[test_case(12_000, KeyVerdict::Own; "minted within the skew")]
+#[test_case(12_001, KeyVerdict::TooNew; "minted beyond lease and skew")]
+#[test_case(3_600_000, KeyVerdict::TooNew; "clock an hour ahead")]
+fn judged_by_mint_time(after_claim_ms: u64, verdict: KeyVerdict) {
+    let mut table = LeaseTable::default();
+    let now = WallTime::from_millis(START);
+    assert!(table.apply(now, &home(), &vm(0), 1, TERMS, LeaseChange::Claim));
+    let key = IdempotencyKey::mint(WallTime::from_millis(START + after_claim_ms), 42);
+    assert_eq!(table.get(&home()).unwrap().epoch.judge(key), verdict);
+}
+
+#[test]
+fn clock_an_hour_behind_is_forgotten() {
+    let mut table = LeaseTable::default();
+    let now = WallTime::from_millis(START);
+    assert!(table.apply(now, &home(), &vm(0), 1, TERMS, LeaseChange::Claim));
+    let key = IdempotencyKey::mint(WallTime::from_millis(START - 3_600_000), 42);
+    assert_eq!(table.get(&home()).unwrap().epoch.judge(key), KeyVerdict::Forgotten);
+}
+
+#[test]
+fn held_slot_is_not_claimed() {
+    let mut table = LeaseTable::default();
+    let at = |ms| WallTime::from_millis(START + ms);
+    assert!(table.apply(at(0), &home(), &vm(0), 1, TERMS, LeaseChange::Claim));
+    assert!(!table.apply(at(9_999), &home(), &vm(1), 1, TERMS, LeaseChange::Claim));
+    assert!(table.apply(at(10_000), &home(), &vm(1), 1, TERMS, LeaseChange::Claim));
+    assert!(!table.apply(at(10_001), &home(), &vm(0), 1, TERMS, LeaseChange::Renew));
+}
