--- a/crates/poplartrail-core/src/engine/keeper.rs
+++ b/crates/poplartrail-core/src/engine/keeper.rs
@@ -140,12 +140,15 @@
         policy: &Policy,
     ) -> Option<OwnHome> {
         let home = Home::of(key, &self.me.service, policy)?;
-        let lease = self.rosters.get(&self.me.service)?.leases().get(&home)?;
+        let roster = self.rosters.get(&self.me.service)?;
+        let lease = roster.leases().get(&home)?;
         let is_own = lease.holder == self.me.vm && lease.incarnation == self.me.incarnation;
         if !is_own || self.releasing.contains(&home.slot) {
             return None;
         }
-        Some(OwnHome { epoch: lease.epoch, is_live: now < self.lease_live_until })
+        // A slot that was given up may have a holder already whose claim has not been read yet.
+        let is_live = now < self.lease_live_until && lease.until > roster.log_now();
+        Some(OwnHome { epoch: lease.epoch, is_live })
     }
 
     /// Whether this node holds `home` and accepts keys minted at `minted`.
--- /dev/null
+++ b/crates/poplartrail-node/tests/bad_input.rs
@@ -0,0 +1,93 @@
+//! Input that cannot be taken: a clear error, nothing lost, and the process serves on.
+
+use std::{io::Write, net::UdpSocket};
+
+use http::Method;
+use poplartrail_stand::{
+    caller::Call,
+    fleet::{Fleet, FleetPlan, NodePlan},
+};
+
+const KEY: &str = "0192f3c4-0000-7000-8000-000000000001";
+const OLD_KIND_OF_KEY: &str = "6fa459ea-ee8a-4ca4-894e-db77e160355e";
+
+fn plan() -> FleetPlan {
+    FleetPlan::new(include_str!("bases/chain.toml"))
+        .node(NodePlan::new("front-a1", "front", "zone-a"))
+        .extra_settings("[limits]\nmax_body_bytes = 4096\nmax_header_bytes = 8192\n")
+}
+
+#[tokio::test]
+async fn refused_with_remedy() {
+    let fleet = Fleet::start(plan()).await;
+    let long = "x".repeat(9_000);
+    let cases = [
+        (Call::get("/").rank("no-such-rank"), 400, "base file"),
+        (Call::get("/").rank("BAD NAME"), 400, "lower-case"),
+        (Call::post("/", "pay"), 400, "UUIDv7"),
+        (Call::post("/", "pay").key("seven"), 400, "UUIDv7"),
+        (Call::post("/", "pay").key(OLD_KIND_OF_KEY), 400, "version 4"),
+        (Call::post("/", vec![0; 5_000]).key(KEY), 413, "max_body_bytes"),
+        (Call::get("/").field("x-long", long), 431, "max_header_bytes"),
+        (Call::get("/").field("poplartrail-deadline-ms", "soon"), 400, "milliseconds"),
+        (Call::get("/").field("poplartrail-request", "mine"), 400, "UUID"),
+        (Call::get("/").method(Method::TRACE), 405, "another"),
+    ];
+    for (call, status, remedy) in cases {
+        let reply = fleet.caller(0).send(&call).await.expect("the node answers");
+        assert_eq!((reply.status, reply.outcome()), (status, "not-run"), "{call:?}");
+        assert!(reply.text().contains(remedy), "{remedy:?} in {:?}", reply.text());
+    }
+    assert_eq!(fleet.counts(0).await.received, 0, "none of them reached the upstream");
+    assert_eq!(fleet.caller(0).send(&Call::get("/")).await.unwrap().status, 200);
+}
+
+#[tokio::test]
+async fn garbage_on_every_port() {
+    let fleet = Fleet::start(plan()).await;
+    let node = &fleet.nodes[0];
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for len in [1, 20, 1_200] {
+        socket.send_to(&vec![0xc3; len], node.peers).unwrap();
+    }
+    for addr in [node.callers, node.report] {
+        let mut stream = std::net::TcpStream::connect(addr).unwrap();
+        stream.write_all(b"\x00\xffnot http at all\r\n\r\n").unwrap();
+    }
+    assert_eq!(fleet.caller(0).send(&Call::get("/")).await.unwrap().status, 200);
+}
+
+#[tokio::test]
+async fn stranger_gets_nothing() {
+    let plan = FleetPlan::new(include_str!("bases/chain.toml"))
+        .node(NodePlan::new("front-a1", "front", "zone-a").next("middle"))
+        .node(NodePlan::new("middle-a1", "middle", "zone-a"));
+    let mut fleet = Fleet::start(plan).await;
+    // A node whose certificate comes from another authority announces itself for the service.
+    fleet.authority = poplartrail_stand::certificates::Authority::new();
+    fleet.add_node(&NodePlan::new("middle-a2", "middle", "zone-a"));
+    fleet
+        .await_status(0, "told of the stranger", |status| {
+            status["instances"].as_array().is_some_and(|known| known.len() == 2)
+        })
+        .await;
+    for _ in 0..10 {
+        let reply = fleet.caller(0).send(&Call::get("/")).await.unwrap();
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+    assert_eq!(fleet.counts(2).await.received, 0, "no call reached the stranger");
+}
+
+#[tokio::test]
+async fn settings_with_wrong_types() {
+    let fleet = Fleet::start(plan()).await;
+    let dir = std::env::temp_dir().join(format!("poplartrail-settings-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let path = dir.join("node.toml");
+    std::fs::write(&path, "[node]\nvm = 7\n").unwrap();
+    let args = [path.display().to_string()];
+    let mut daemon = poplartrail_stand::fleet::Process::start(&dir, "poplartraild", "bad", &args);
+    assert_eq!(daemon.wait(std::time::Duration::from_secs(10)), Some(2));
+    assert!(daemon.output().contains("vm"), "{}", daemon.output());
+    drop(fleet);
+}
--- /dev/null
+++ b/crates/poplartrail-node/tests/config_race.rs
@@ -0,0 +1,80 @@
+//! Operators race each other, append answers are lost, and nothing reverts.
+
+use std::time::Duration;
+
+use poplartrail_stand::{
+    fleet::{Fleet, FleetPlan, NodePlan},
+    log::Faults,
+};
+
+const BASE: &str = include_str!("bases/pair.toml");
+
+fn plan() -> FleetPlan {
+    FleetPlan::new(BASE)
+        .node(NodePlan::new("swaps-a1", "swaps", "zone-a"))
+        .node(NodePlan::new("swaps-b1", "swaps", "zone-b"))
+}
+
+async fn await_version(fleet: &Fleet, version: u64) {
+    for at in 0..fleet.nodes.len() {
+        let has = |status: &serde_json::Value| status["config"].as_u64() == Some(version);
+        fleet.await_status(at, "at the new version", has).await;
+    }
+}
+
+#[tokio::test]
+async fn second_of_two_is_refused() {
+    let fleet = Fleet::start(plan()).await;
+    let text = |retries: u8| {
+        BASE.replace("[bounds]", &format!("[bounds]\nretries_per_request = {retries}"))
+    };
+    let (code, output) = fleet.publish("base", &text(1), 1);
+    assert_eq!(code, 0, "{output}");
+    let (code, output) = fleet.publish("base", &text(2), 1);
+    assert_eq!(code, 1, "{output}");
+    assert!(output.contains("refused") && output.contains("--against 2"), "{output}");
+    await_version(&fleet, 2).await;
+}
+
+#[tokio::test]
+async fn lost_answer_is_read_back() {
+    let fleet = Fleet::start(plan()).await;
+    fleet.break_log(&Faults { lost_answers: 1, ..Faults::default() }).await;
+    let (code, output) = fleet.publish("base", &format!("{BASE}\n# a note\n"), 1);
+    assert_eq!(code, 0, "{output}");
+    assert!(output.contains("accepted: version 2"), "{output}");
+    await_version(&fleet, 2).await;
+}
+
+#[tokio::test]
+async fn down_log_changes_nothing() {
+    let fleet = Fleet::start(plan()).await;
+    fleet.break_log(&Faults { is_down: true, ..Faults::default() }).await;
+    let (code, output) = fleet.publish("base", &format!("{BASE}\n# a note\n"), 1);
+    assert_eq!(code, 4, "{output}");
+    fleet.break_log(&Faults::default()).await;
+    await_version(&fleet, 1).await;
+}
+
+#[tokio::test]
+async fn invalid_change_is_refused() {
+    let fleet = Fleet::start(plan()).await;
+    let (code, output) = fleet.publish("base", &BASE.replace("zone-b", "zone-c"), 1);
+    assert_eq!(code, 1, "{output}");
+    assert!(output.contains("keys in use"), "{output}");
+    let (code, output) = fleet.publish("base", &BASE.replace("worth = 10.0", "worth = -1.0"), 1);
+    assert_eq!(code, 1, "{output}");
+    assert!(output.contains("rank.worth"), "{output}");
+    await_version(&fleet, 1).await;
+}
+
+#[tokio::test]
+async fn outlasts_retention() {
+    let fleet = Fleet::start(plan().retention(Duration::from_secs(10))).await;
+    tokio::time::sleep(Duration::from_secs(14)).await;
+    // Every record of the change itself is gone; a node that starts now still learns it.
+    let mut fleet = fleet;
+    fleet.restart(1);
+    await_version(&fleet, 1).await;
+    fleet.await_serving().await;
+}
--- /dev/null
+++ b/crates/poplartrail-node/tests/node_drain.rs
@@ -0,0 +1,81 @@
+//! A planned stop cuts off no request in progress, and new work goes elsewhere.
+
+use std::time::Duration;
+
+use poplartrail_stand::{
+    caller::Call,
+    fleet::{Fleet, FleetPlan, NodePlan},
+    log::Faults,
+    upstream::Behaviour,
+};
+use test_case::test_case;
+
+/// Longer than the library's own bound on a graceful stop.
+const LONG_WORK: Duration = Duration::from_secs(33);
+
+fn plan(work: Duration) -> FleetPlan {
+    let behaviour = Behaviour { work_us: work.as_micros() as u64, ..Behaviour::default() };
+    FleetPlan::new(include_str!("bases/chain.toml"))
+        .node(NodePlan::new("front-a1", "front", "zone-a").next("middle"))
+        .node(NodePlan::new("middle-a1", "middle", "zone-a").behaviour(behaviour))
+        .node(NodePlan::new("middle-a2", "middle", "zone-a"))
+        .extra_settings("[stop]\ndrain_s = 60\nlinger_ms = 500\n")
+}
+
+#[tokio::test]
+async fn long_request_survives() {
+    let mut fleet = Fleet::start(
+        FleetPlan::new(include_str!("bases/chain.toml"))
+            .node(NodePlan::new("front-a1", "front", "zone-a").behaviour(Behaviour {
+                work_us: LONG_WORK.as_micros() as u64,
+                ..Behaviour::default()
+            }))
+            .extra_settings("[stop]\ndrain_s = 60\nlinger_ms = 500\n"),
+    )
+    .await;
+    let caller = fleet.caller(0);
+    let call = Call::get("/long").field("poplartrail-deadline-ms", "60000");
+    let request = tokio::spawn(async move { caller.send(&call).await });
+    await_received(&fleet, 0).await;
+    fleet.nodes[0].daemon.signal("TERM");
+    let reply = request.await.unwrap().expect("the request is not cut off");
+    assert_eq!((reply.status, reply.text().as_str()), (200, "/long\n"));
+    assert_eq!(fleet.nodes[0].daemon.wait(Duration::from_secs(30)), Some(0));
+}
+
+#[test_case(false; "log up")]
+#[test_case(true; "log down")]
+fn new_work_goes_elsewhere(is_log_down: bool) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let fleet = Fleet::start(plan(Duration::from_millis(300))).await;
+        if is_log_down {
+            fleet.break_log(&Faults { is_down: true, ..Faults::default() }).await;
+        }
+        let caller = fleet.caller(0);
+        let mut tasks = Vec::new();
+        for turn in 0..20 {
+            let caller = caller.clone();
+            let call = Call::get(format!("/{turn}"));
+            tasks.push(tokio::spawn(async move { caller.send(&call).await }));
+        }
+        await_received(&fleet, 1).await;
+        fleet.nodes[1].daemon.signal("TERM");
+        for task in tasks {
+            let reply = task.await.unwrap().expect("no request is cut off");
+            assert_eq!(reply.status, 200, "{}", reply.text());
+        }
+        let before = fleet.counts(1).await.received;
+        for turn in 0..20 {
+            let reply = caller.send(&Call::get(format!("/after/{turn}"))).await.unwrap();
+            assert_eq!(reply.status, 200, "{}", reply.text());
+        }
+        assert_eq!(fleet.counts(1).await.received, before, "it gets no new work");
+    });
+}
+
+async fn await_received(fleet: &Fleet, at: usize) {
+    while fleet.counts(at).await.received == 0 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/poplartrail-settings/src/document/check.rs
+++ b/crates/poplartrail-settings/src/document/check.rs
@@ -96,8 +96,13 @@
 ) -> Result<(), SettingsError> {
     let texts = after.iter().map(|(id, d)| (id.clone(), &*d.text)).collect();
     SiteDocuments::check_all(&texts)?;
-    for id in after.keys() {
-        let DocumentId::Overlay(site) = id else { continue };
+    // A site without an overlay of its own follows the base file alone.
+    let no_overlay = SiteName::new("any").expect("the constant is a valid name");
+    let overlays = after.keys().filter_map(|id| match id {
+        DocumentId::Overlay(site) => Some(site),
+        DocumentId::Base => None,
+    });
+    for site in overlays.chain([&no_overlay]) {
         let old = SiteDocuments::policy_of(site, before);
         let new = SiteDocuments::policy_of(site, after);
         if let (Some(Ok(old)), Some(Ok(new))) = (old, new) {
--- a/crates/poplartrail-stand/src/caller.rs
+++ b/crates/poplartrail-stand/src/caller.rs
@@ -41,6 +41,13 @@
         self
     }
 
+    /// Replaces the body.
+    #[must_use]
+    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
     /// Adds a header field.
     #[must_use]
     pub fn field(mut self, name: impl Into<String>, value: impl Into<String>) -> Self {
--- a/crates/poplartrail-stand/src/fleet/running.rs
+++ b/crates/poplartrail-stand/src/fleet/running.rs
@@ -1,6 +1,7 @@
 //! A fleet that runs.
 
 use std::{
+    collections::HashMap,
     fs,
     net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
@@ -23,6 +24,8 @@
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time between two looks at a condition.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// Key slots of each service and availability zone in the base files of the tests.
+const KEY_SLOTS: u64 = 2;
 /// Site of the stand-in fleets.
 const SITE: &str = "stand";
 
@@ -274,6 +277,32 @@
             })
             .await;
         }
+        self.await_slots().await;
+    }
+
+    /// Waits until the key slots of each service and availability zone are divided evenly.
+    async fn await_slots(&self) {
+        let end = Instant::now() + START_TIMEOUT;
+        while Instant::now() < end {
+            if self.has_even_slots().await {
+                return;
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        panic!("the key slots are not divided evenly");
+    }
+
+    async fn has_even_slots(&self) -> bool {
+        let mut held: HashMap<(&str, &str), Vec<u64>> = HashMap::new();
+        for (at, node) in self.plan.nodes.iter().enumerate() {
+            let status = self.status(at).await.unwrap_or_default();
+            let slots = status["slots"].as_u64().unwrap_or(0);
+            held.entry((&node.service, &node.zone)).or_default().push(slots);
+        }
+        held.values().all(|slots| {
+            let parts = KEY_SLOTS.div_ceil(slots.len() as u64);
+            slots.iter().sum::<u64>() == KEY_SLOTS && slots.iter().all(|held| *held <= parts)
+        })
     }
 
     async fn await_port(&self, addr: SocketAddr) {
