Tell a silent connection from a slow service by the transport

Change: the peers adapter watches each connection: packets go out and none comes back for four round trips, 100 ms at least. Slow upstreams do not matter, QUIC acknowledges without them.

--- a/crates/poplartrail-node/src/adapters/peers/dial.rs
+++ b/crates/poplartrail-node/src/adapters/peers/dial.rs
@@ -11,6 +11,11 @@
 use quinn::{ClientConfig, Connection, Endpoint};
 use tokio::{sync::OnceCell, time::timeout};
 
+use crate::{
+    adapters::peers::watch::watch,
+    ports::{DecideMessage, Ring},
+};
+
 /// Time within which a connection must be open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -22,11 +27,16 @@
     endpoint: Endpoint,
     config: ClientConfig,
     cells: Arc<Mutex<HashMap<SocketAddr, Cell>>>,
+    decide: Ring<DecideMessage>,
 }
 
 impl Dialer {
-    pub(crate) fn new(endpoint: Endpoint, config: ClientConfig) -> Self {
-        Self { endpoint, config, cells: Arc::default() }
+    pub(crate) fn new(
+        endpoint: Endpoint,
+        config: ClientConfig,
+        decide: Ring<DecideMessage>,
+    ) -> Self {
+        Self { endpoint, config, cells: Arc::default(), decide }
     }
 
     /// The connection to `vm` at `to`, or `None` if none can be opened in time.
@@ -45,7 +55,10 @@
     async fn open(&self, to: SocketAddr, vm: &VmName) -> Result<Connection, ()> {
         let connecting = self.endpoint.connect_with(self.config.clone(), to, vm.as_str());
         let connecting = connecting.map_err(|_| ())?;
-        timeout(CONNECT_TIMEOUT, connecting).await.map_err(|_| ())?.map_err(|_| ())
+        let connection = timeout(CONNECT_TIMEOUT, connecting).await.map_err(|_| ())?;
+        let connection = connection.map_err(|_| ())?;
+        tokio::spawn(watch(connection.clone(), vm.clone(), self.decide.clone()));
+        Ok(connection)
     }
 
     /// Closes the connection to `to`; the next call opens a new one.
--- a/crates/poplartrail-node/src/adapters/peers/mod.rs
+++ b/crates/poplartrail-node/src/adapters/peers/mod.rs
@@ -5,6 +5,7 @@
 mod run;
 mod send;
 mod tls;
+mod watch;
 
 pub use run::{PeersOptions, run};
 pub use tls::{PeersTls, TlsError};
--- a/crates/poplartrail-node/src/adapters/peers/run.rs
+++ b/crates/poplartrail-node/src/adapters/peers/run.rs
@@ -73,7 +73,7 @@
         let mut client = ClientConfig::new(options.tls.client.clone());
         client.transport_config(transport());
         let sender = Sender {
-            dialer: Dialer::new(endpoint.clone(), client),
+            dialer: Dialer::new(endpoint.clone(), client, decide.clone()),
             options,
             decide: decide.clone(),
             pending,
--- /dev/null
+++ b/crates/poplartrail-node/src/adapters/peers/watch.rs
@@ -0,0 +1,42 @@
+//! Watch for connections over which the network acknowledges nothing.
+
+use std::time::Duration;
+
+use poplartrail_core::{engine::Input, names::VmName};
+use quinn::Connection;
+use tokio::time::{Instant, sleep};
+
+use crate::ports::{DecideMessage, Ring};
+
+/// Time between two looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(25);
+/// Shortest silence that counts.
+const MIN_SILENCE: Duration = Duration::from_millis(100);
+/// Round trips without any packet that count as silence.
+const ROUND_TRIPS: u32 = 4;
+
+/// Tells the decide thread when packets go out to `vm` and none comes back.
+///
+/// QUIC acknowledges every packet with content, whatever the other end's upstream does,
+/// so this tells a silent connection from a slow service.
+pub(crate) async fn watch(connection: Connection, vm: VmName, decide: Ring<DecideMessage>) {
+    let mut received = 0;
+    let mut sent_at_last = 0;
+    let mut silent_since: Option<Instant> = None;
+    while connection.close_reason().is_none() {
+        let stats = connection.stats();
+        let (sent, heard) = (stats.udp_tx.datagrams, stats.udp_rx.datagrams);
+        if heard != received {
+            received = heard;
+            sent_at_last = sent;
+            silent_since = None;
+        } else if sent > sent_at_last {
+            let since = *silent_since.get_or_insert_with(Instant::now);
+            if since.elapsed() >= MIN_SILENCE.max(connection.rtt() * ROUND_TRIPS) {
+                decide.push(DecideMessage::Input(Input::PeerSilent(vm))).await;
+                return;
+            }
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+}
