Keep a test from waiting for a call that was not dispatched

Change: the test sends the key again after "unknown", as callers are told to, until the home's upstream has received it; its assertions are unchanged. An upstream stand-in without work uses no timer, so that added latency can be measured below a millisecond.

--- a/crates/poplartrail-node/tests/once_only.rs
+++ b/crates/poplartrail-node/tests/once_only.rs
@@ -8,6 +8,7 @@
     log::Faults,
     upstream::Behaviour,
 };
+use tokio::task::JoinHandle;
 
 /// Two nodes of one service in each of two availability zones.
 fn plan() -> FleetPlan {
@@ -105,6 +106,23 @@
     assert_eq!(fleet.runs_of(&key).await, 1, "it ran, and did not run again");
 }
 
+/// Sends the key through the last node, again after each "unknown", until the first one's
+/// upstream has received it.
+async fn dispatched(fleet: &Fleet, key: &str) -> JoinHandle<Reply> {
+    for _ in 0..100 {
+        let (caller, call) = (fleet.caller(2), book(key));
+        let request = tokio::spawn(async move { send(&caller, &call).await });
+        while !request.is_finished() {
+            if fleet.counts(0).await.received > 0 {
+                return request;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("the key does not reach its home");
+}
+
 #[tokio::test]
 async fn killed_after_dispatch() {
     let mut fleet = Fleet::start(plan()).await;
@@ -112,13 +130,9 @@
     fleet.behave(0, &slow).await;
     // The key's home is the first node, which is killed while its upstream works.
     let key = key_from(&fleet.caller(0)).await;
-    let (caller, call) = (fleet.caller(2), book(&key));
-    let request = tokio::spawn(async move { caller.send(&call).await });
-    while fleet.counts(0).await.received == 0 {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
+    let request = dispatched(&fleet, &key).await;
     fleet.restart(0);
-    let first = request.await.unwrap().expect("the other node answers");
+    let first = request.await.unwrap();
     assert_ne!(first.outcome(), "not-run", "the home was told to run it");
     fleet.await_serving().await;
     // While the slot changes hands, and after: never a second run, never "not run".
--- a/crates/poplartrail-stand/src/upstream/server.rs
+++ b/crates/poplartrail-stand/src/upstream/server.rs
@@ -121,7 +121,10 @@
             guard.has_ended = true;
             return response(504, "too late\n");
         }
-        sleep_until(Instant::now() + work).await;
+        // A timer rounds up to a millisecond, which no work at all does not take.
+        if !work.is_zero() {
+            sleep_until(Instant::now() + work).await;
+        }
         let is_lost = self.count(headers);
         let below = self.call_next(&request).await;
         guard.has_ended = true;
