Do not take a connection at rest for a silent one

Its last acknowledgement, sent after the last packet that came, looked like a packet without an answer, and the connection was replaced under a call. Change: three packets must have gone out since the last one that came; lost content repeats itself within 100 ms, a connection at rest sends one acknowledgement.

--- a/crates/poplartrail-node/src/adapters/peers/watch.rs
+++ b/crates/poplartrail-node/src/adapters/peers/watch.rs
@@ -12,6 +12,9 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(25);
 /// Shortest silence that counts.
 const MIN_SILENCE: Duration = Duration::from_millis(100);
+/// Packets that must have gone out since; a connection at rest sends one late acknowledgement,
+/// one with lost content repeats itself.
+const MIN_UNANSWERED: u64 = 3;
 /// Round trips without any packet that count as silence.
 const ROUND_TRIPS: u32 = 4;
 
@@ -32,7 +35,8 @@
             silent_since = None;
         } else if sent > sent_at_last {
             let since = *silent_since.get_or_insert_with(Instant::now);
-            if since.elapsed() >= MIN_SILENCE.max(connection.rtt() * ROUND_TRIPS) {
+            let is_long = since.elapsed() >= MIN_SILENCE.max(connection.rtt() * ROUND_TRIPS);
+            if is_long && sent >= sent_at_last + MIN_UNANSWERED {
                 decide.push(DecideMessage::Input(Input::PeerSilent(vm))).await;
                 return;
             }
