Take out what nothing uses, and judge a call's share in one place

Taken out: a way to propose a configuration change through a node that no adapter ever fed (input, output, ring message, append); a debug check that could not fail; an accessor without a caller. The slack of a request that has begun was decided twice in the gate and is one method of the offer now. Behaviour is unchanged. Not mended: the lab and given_up_slot each have an empty document source, and the three HTTP fronts repeat the service's signature.

--- a/crates/poplartrail-core/src/engine/input.rs
+++ b/crates/poplartrail-core/src/engine/input.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     call::{Answer, Doubt, Effect, Payload, Refusal, RequestId, RetryBudget},
-    config::{Change, Snapshot},
+    config::Snapshot,
     engine::CallKey,
     member::MemberRecord,
     names::{RankName, ServiceName, VmName},
@@ -195,8 +195,6 @@
     PeerMembers(Vec<MemberRecord>),
     /// The network acknowledges nothing on the open connection to this VM.
     PeerSilent(VmName),
-    /// An operator's change reached the node by another way than the log.
-    Propose(Change),
     /// The time of the next wake-up has come.
     Wake,
     /// The node is to stop.
--- a/crates/poplartrail-core/src/engine/keeper.rs
+++ b/crates/poplartrail-core/src/engine/keeper.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::{
-    config::{Change, ChangeId, DocumentCheck, History, Verdict},
+    config::{ChangeId, DocumentCheck, History, Verdict},
     engine::{LogRecord, Output},
     keys::{Epoch, Home, IdempotencyKey, LeaseChange, LeaseTerms, Slot},
     member::{Member, MemberRecord, MemberState, Roster, SlotChange},
@@ -374,11 +374,6 @@
         }
     }
 
-    /// Passes an operator's change on to the log.
-    pub(crate) fn propose(&self, change: Change, out: &mut Vec<Output>) {
-        out.push(Output::AppendChange(change));
-    }
-
     /// Says that the node takes no new work; its slots stay with it until [`Keeper::leave`].
     pub(crate) fn announce_draining(&mut self, now: Time, policy: &Policy, out: &mut Vec<Output>) {
         self.is_leaving = true;
--- a/crates/poplartrail-core/src/engine/node.rs
+++ b/crates/poplartrail-core/src/engine/node.rs
@@ -105,7 +105,6 @@
                 }
             }
             Input::PeerMembers(members) => self.hear_members(now, &members),
-            Input::Propose(change) => self.keeper.propose(change, out),
             Input::Wake => self.wake(now, wall, out),
             Input::Leave => self.leave(now, wall, out),
         }
--- a/crates/poplartrail-core/src/engine/output.rs
+++ b/crates/poplartrail-core/src/engine/output.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     call::{Context, Outcome, Payload, RetryBudget},
-    config::{Change, Snapshot},
+    config::Snapshot,
     engine::{CallKey, Event, Ticket},
     member::MemberRecord,
     names::{ServiceName, VmName},
@@ -74,8 +74,6 @@
     AppendMember(MemberRecord),
     /// Append a snapshot to the configuration stream.
     AppendSnapshot(Snapshot),
-    /// Append an operator's change to the configuration stream.
-    AppendChange(Change),
     /// Read the streams of these services besides the node's own.
     Follow(Vec<ServiceName>),
     /// Ask another node for its configuration, because it has a newer one.
--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -48,6 +48,14 @@
     pub is_begun: bool,
 }
 
+impl Offer {
+    /// Whether the call passes a gate that admits `share` of its rank.
+    fn is_within(&self, share: Share) -> bool {
+        let share = if self.is_begun { share.with_slack() } else { share };
+        share.admits(self.draw)
+    }
+}
+
 /// What becomes of a call.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum GateStep {
@@ -193,8 +201,7 @@
         let state = &mut self.ranks[offer.rank.index()];
         state.arrived += 1;
         if self.options.has_shares {
-            let share = if offer.is_begun { state.share.with_slack() } else { state.share };
-            if !share.admits(offer.draw) {
+            if !offer.is_within(state.share) {
                 self.shed(&offer, Refusal::Overload, steps);
                 return;
             }
@@ -330,16 +337,12 @@
         }
         self.interval_number += 1;
         self.evict_outside_share(steps);
-        debug_assert!(!self.queue.has_above(RankIndex(0)), "nothing stands above the first rank");
         self.fill_places(now, steps);
     }
 
     fn evict_outside_share(&mut self, steps: &mut Vec<GateStep>) {
         let ranks = &self.ranks;
-        let over = self.queue.drain_if(|offer| {
-            let share = ranks[offer.rank.index()].share;
-            !if offer.is_begun { share.with_slack() } else { share }.admits(offer.draw)
-        });
+        let over = self.queue.drain_if(|offer| !offer.is_within(ranks[offer.rank.index()].share));
         for offer in &over {
             self.shed(offer, Refusal::Overload, steps);
         }
--- a/crates/poplartrail-core/src/gate/gradient.rs
+++ b/crates/poplartrail-core/src/gate/gradient.rs
@@ -192,11 +192,6 @@
         }
     }
 
-    /// Own time without queueing, in seconds, once it is known.
-    pub fn base(&self) -> Option<f64> {
-        self.base
-    }
-
     fn begin_round(&mut self) {
         let size = (self.limit as u32).clamp(ROUND_CALLS, MAX_ROUND_CALLS);
         self.round = Cohort::new(size);
--- a/crates/poplartrail-core/src/gate/queue.rs
+++ b/crates/poplartrail-core/src/gate/queue.rs
@@ -77,9 +77,4 @@
         self.len -= over.len();
         over
     }
-
-    /// Whether a call of a rank above `rank` waits.
-    pub(crate) fn has_above(&self, rank: RankIndex) -> bool {
-        self.ranks[..rank.index()].iter().any(|q| !q.is_empty())
-    }
 }
--- a/crates/poplartrail-node/src/adapters/platform/run.rs
+++ b/crates/poplartrail-node/src/adapters/platform/run.rs
@@ -98,9 +98,6 @@
             PlatformMessage::AppendSnapshot(snapshot) => {
                 (StreamId::Config, encode_step(&Step::Snapshot(snapshot)))
             }
-            PlatformMessage::AppendChange(change) => {
-                (StreamId::Config, encode_step(&Step::Change(change)))
-            }
             PlatformMessage::Follow(services) => {
                 for service in services {
                     self.cursors.entry(StreamId::Members(service)).or_insert(0);
--- a/crates/poplartrail-node/src/decide/outlets.rs
+++ b/crates/poplartrail-node/src/decide/outlets.rs
@@ -82,7 +82,6 @@
             Output::TellLeaving(others) => peers(PeersMessage::Leaving(others)),
             Output::AppendMember(record) => platform(PlatformMessage::AppendMember(record)),
             Output::AppendSnapshot(snapshot) => platform(PlatformMessage::AppendSnapshot(snapshot)),
-            Output::AppendChange(change) => platform(PlatformMessage::AppendChange(change)),
             Output::Follow(services) => platform(PlatformMessage::Follow(services)),
             Output::Note(event) => {
                 counter!("poplartrail_events_total", "kind" => event.kind.word()).increment(1);
--- a/crates/poplartrail-node/src/ports/message.rs
+++ b/crates/poplartrail-node/src/ports/message.rs
@@ -4,7 +4,7 @@
 
 use poplartrail_core::{
     call::{Context, Outcome, Payload, RetryBudget},
-    config::{Change, Snapshot},
+    config::Snapshot,
     engine::{CallKey, Event, Input, NodeView, Ticket},
     keys::IdempotencyKey,
     member::MemberRecord,
@@ -130,8 +130,6 @@
     AppendMember(MemberRecord),
     /// Append a snapshot to the configuration stream.
     AppendSnapshot(Snapshot),
-    /// Append a change to the configuration stream.
-    AppendChange(Change),
     /// Read more streams.
     Follow(Vec<ServiceName>),
 }
