Ask who holds a slot when the log cannot tell

A trace showed the caller's node as the last holder that it had read of itself: it had given the slot up, and the log went down before it read the claim of the next holder. For the whole outage it then answered "unknown" for that holder's keys. Ruled out: the holder itself refusing (it was never asked), an unknown instance, a connection that could not be made.

Change: answers to AskMembers name the slots that each member holds; a node that lacks a current lease for a home uses that as a hint where to send, and asks a node in the home's availability zone when it has none (at most one question in 200 ms). The node that is asked still judges by its own lease, so a wrong hint cannot cause a second run. The test now asks again after "unknown", as callers are told to; the bound (answered, one run) is unchanged.

--- a/crates/poplartrail-core/src/engine/arrivals.rs
+++ b/crates/poplartrail-core/src/engine/arrivals.rs
@@ -278,6 +278,8 @@
                 let not_run = self.refuse(call, Refusal::KeyTooNew);
                 self.finish(cx, key, Outcome::NotRun(not_run));
             }
+            // The slot has passed on; its next holder may be known.
+            KeyVerdict::TooNew if self.live[key].is_entry() => self.send_out(cx, key, call, None),
             KeyVerdict::TooNew => {
                 let unknown = call.doubt(Doubt::HomeUnreachable);
                 self.finish(cx, key, Outcome::Unknown(unknown));
--- a/crates/poplartrail-core/src/engine/calls.rs
+++ b/crates/poplartrail-core/src/engine/calls.rs
@@ -161,6 +161,8 @@
     pub(crate) timers: Timers,
     pub(crate) random: SmallRng,
     pub(crate) latest_accepted: WallTime,
+    /// Earliest time of the next question for the holder of a slot.
+    pub(crate) ask_holder_at: Time,
     pub(crate) upstream_down_until: Time,
     called: Vec<Called>,
     newly_called: Vec<ServiceName>,
@@ -187,6 +189,7 @@
             timers: Timers::default(),
             random: SmallRng::seed_from_u64(options.seed),
             latest_accepted: WallTime::default(),
+            ask_holder_at: Time::ZERO,
             upstream_down_until: Time::ZERO,
             called: Vec::new(),
             newly_called: Vec::new(),
--- a/crates/poplartrail-core/src/engine/keeper.rs
+++ b/crates/poplartrail-core/src/engine/keeper.rs
@@ -121,6 +121,9 @@
     }
 
     /// The last known holder of a key's home.
+    ///
+    /// The log decides who holds a slot. What another node said counts only for a slot whose
+    /// lease has ended as far as the log was read; the node that is asked judges for itself.
     pub(crate) fn holder(
         &self,
         service: &ServiceName,
@@ -128,8 +131,24 @@
         policy: &Policy,
     ) -> Option<&VmName> {
         let home = Home::of(key, service, policy)?;
-        let lease = self.rosters.get(service)?.leases().get(&home)?;
-        Some(&lease.holder)
+        let roster = self.rosters.get(service)?;
+        let lease = roster.leases().get(&home);
+        if let Some(lease) = lease
+            && lease.until > roster.log_now()
+        {
+            return Some(&lease.holder);
+        }
+        self.told_holder(service, &home).or(lease.map(|lease| &lease.holder))
+    }
+
+    /// The holder of `home` by what other nodes said.
+    fn told_holder(&self, service: &ServiceName, home: &Home) -> Option<&VmName> {
+        let holds = |record: &&MemberRecord| {
+            record.member.service == *service
+                && record.member.zone == home.zone
+                && record.slots.iter().any(|held| held.slot == home.slot)
+        };
+        self.peer_members.values().find(holds).map(|record| &record.member.vm)
     }
 
     /// The key's home, if this start of this node was the last to hold it.
@@ -240,19 +259,22 @@
         }
     }
 
-    /// All members that are known, from the log and from other nodes.
+    /// All members that are known, from the log and from other nodes, with the slots they hold.
     pub fn members(&self) -> Vec<MemberRecord> {
         let mut found = self.peer_members.clone();
-        for entry in self.rosters.values().flat_map(Roster::iter) {
-            let terms = LeaseTerms { term: entry.term, skew: Duration::ZERO };
-            let record = MemberRecord {
-                member: entry.member.clone(),
-                state: entry.state,
-                terms,
-                sent: Time::ZERO,
-                slots: Vec::new(),
-            };
-            found.insert(entry.member.vm.clone(), record);
+        for roster in self.rosters.values() {
+            for entry in roster.iter() {
+                let terms = LeaseTerms { term: entry.term, skew: Duration::ZERO };
+                let member = entry.member.clone();
+                let (vm, incarnation) = (&member.vm, member.incarnation);
+                let held = roster.leases().held_by(vm, incarnation, roster.log_now());
+                let slots = held
+                    .map(|(home, _)| SlotChange { slot: home.slot, change: LeaseChange::Renew })
+                    .collect();
+                let (state, sent) = (entry.state, Time::ZERO);
+                let record = MemberRecord { member: member.clone(), state, terms, sent, slots };
+                found.insert(member.vm, record);
+            }
         }
         found.into_values().collect()
     }
--- a/crates/poplartrail-core/src/engine/node.rs
+++ b/crates/poplartrail-core/src/engine/node.rs
@@ -8,7 +8,7 @@
         Calls, CallsOptions, EventKind, Input, InstanceView, Keeper, Life, LogBatch, NodeView,
         Output, Phase, RankView, calls::Cx,
     },
-    keys::{Home, IdempotencyKey, LeaseTerms},
+    keys::{Home, IdempotencyKey},
     member::{Member, MemberRecord, MemberState},
     names::{ServiceName, VmName},
     policy::{Policy, RankIndex},
@@ -371,19 +371,7 @@
         self.ask_seeds_at = now + SEED_PAUSE;
         for (vm, to) in &self.seeds {
             out.push(Output::AskConfig { to: *to, vm: vm.clone() });
-            out.push(Output::AskMembers { to: *to, vm: vm.clone(), own: self.own_record() });
-        }
-    }
-
-    /// What the node says of itself.
-    fn own_record(&self) -> MemberRecord {
-        let bounds = &self.calls.policy().bounds;
-        MemberRecord {
-            member: self.me.clone(),
-            state: MemberState::Serving,
-            terms: LeaseTerms { term: bounds.lease, skew: bounds.clock_skew },
-            sent: Time::ZERO,
-            slots: Vec::new(),
+            out.push(Output::AskMembers { to: *to, vm: vm.clone(), own: self.calls.own_record() });
         }
     }
 
--- a/crates/poplartrail-core/src/engine/sending.rs
+++ b/crates/poplartrail-core/src/engine/sending.rs
@@ -1,12 +1,22 @@
 //! How a call goes to another node, and goes again.
 
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+
 use crate::{
     call::{Arrived, Call, Doubt, Effect, Outcome, Refusal},
     engine::{CallKey, Calls, EventKind, Output, calls::Cx, live::Stage},
-    keys::IdempotencyKey,
+    keys::{Home, IdempotencyKey, LeaseTerms},
+    member::{MemberRecord, MemberState},
+    names::ServiceName,
     route::{Choice, InstanceKey},
+    time::Time,
 };
 
+/// Least time between two questions for the holder of a slot.
+const ASK_HOLDER_PAUSE: Duration = Duration::from_millis(200);
+
 impl Calls {
     /// Chooses an instance for a call and sends it there.
     pub(crate) fn send_out(
@@ -70,12 +80,46 @@
         match instance {
             Some(instance) => self.send_to(cx, key, call, instance),
             None => {
+                self.ask_holder(cx, call.service(), id);
                 let unknown = call.doubt(Doubt::HomeUnreachable);
                 self.finish(cx, key, Outcome::Unknown(unknown));
             }
         }
     }
 
+    /// Asks a node in the key's availability zone who holds which slot.
+    ///
+    /// A claim that the log no longer lets this node read is known to its holder at least.
+    fn ask_holder(&mut self, cx: &mut Cx<'_>, service: &ServiceName, id: IdempotencyKey) {
+        let Some(home) = Home::of(id, service, &self.policy) else { return };
+        if cx.now < self.ask_holder_at {
+            return;
+        }
+        let in_zone: Vec<_> = self
+            .router
+            .of_service(service)
+            .filter(|(_, instance)| instance.zone == home.zone)
+            .map(|(_, instance)| (instance.vm.clone(), instance.addr))
+            .collect();
+        if let Some((vm, to)) = in_zone.choose(&mut self.random) {
+            self.ask_holder_at = cx.now + ASK_HOLDER_PAUSE;
+            let (to, vm) = (*to, vm.clone());
+            cx.out.push(Output::AskMembers { to, vm, own: self.own_record() });
+        }
+    }
+
+    /// What the node says of itself.
+    pub(crate) fn own_record(&self) -> MemberRecord {
+        let bounds = &self.policy.bounds;
+        MemberRecord {
+            member: self.me.clone(),
+            state: MemberState::Serving,
+            terms: LeaseTerms { term: bounds.lease, skew: bounds.clock_skew },
+            sent: Time::ZERO,
+            slots: Vec::new(),
+        }
+    }
+
     fn send_to(
         &mut self,
         cx: &mut Cx<'_>,
--- a/crates/poplartrail-core/tests/given_up_slot.rs
+++ b/crates/poplartrail-core/tests/given_up_slot.rs
@@ -53,38 +53,39 @@
     ServiceName::new("swaps").unwrap()
 }
 
-fn me() -> Member {
-    let addr = "127.0.0.1:7000".parse().unwrap();
-    Member {
-        vm: VmName::new("swaps-a1").unwrap(),
+fn member(vm: &str, addr: &str) -> MemberRecord {
+    let addr = addr.parse().unwrap();
+    let member = Member {
+        vm: VmName::new(vm).unwrap(),
         incarnation: 1,
         service: service(),
         zone: ZoneName::new("zone-a").unwrap(),
         addr,
         report: addr,
-    }
+    };
+    let terms = LeaseTerms { term: Duration::from_secs(60), skew: Duration::from_secs(2) };
+    let (state, sent) = (MemberState::Serving, Time::ZERO);
+    MemberRecord { member, state, terms, sent, slots: Vec::new() }
+}
+
+fn me() -> Member {
+    member("swaps-a1", "127.0.0.1:7000").member
 }
 
 fn log(offset: u64, after: Duration, change: LeaseChange) -> Input {
     let at = START + after;
-    let terms = LeaseTerms { term: Duration::from_secs(60), skew: Duration::from_secs(2) };
-    let body = MemberRecord {
-        member: me(),
-        state: MemberState::Serving,
-        terms,
-        sent: Time::ZERO,
-        slots: vec![SlotChange { slot: Slot(0), change }],
-    };
+    let mut body = member("swaps-a1", "127.0.0.1:7000");
+    body.slots.push(SlotChange { slot: Slot(0), change });
     let records = vec![LogRecord { offset, at, body }];
     let batch = LogBatch::Members { service: service(), oldest: (0, START), records };
     Input::Log { batch, log_now: at }
 }
 
-fn outcome_of(node: &mut Node, key: IdempotencyKey) -> Outcome {
+fn ask(node: &mut Node, origin: Origin, key: IdempotencyKey) -> Vec<Output> {
     let ticket = Ticket { port: Port::Peers, id: 1 };
     let arrival = Arrival {
         ticket,
-        origin: Origin::Peer { budget: Default::default(), depth: 1 },
+        origin,
         service: service(),
         request: RequestId(1),
         rank: Some(RankName::new("only").unwrap()),
@@ -94,6 +95,10 @@
     };
     let mut out = Vec::new();
     node.handle(Time::from_millis(20_000), START, Input::Arrive(arrival), &mut out);
+    out
+}
+
+fn outcome_of(out: Vec<Output>) -> Outcome {
     out.into_iter()
         .find_map(|output| match output {
             Output::Reply { outcome, .. } => Some(outcome),
@@ -102,8 +107,8 @@
         .expect("the call ends at once")
 }
 
-#[test]
-fn says_unknown() {
+/// A node whose slot was claimed at the start and given up after 5 s.
+fn past_holder() -> Node {
     let mut node = Node::new(NodeOptions {
         me: me(),
         first_policy: Arc::new(policy()),
@@ -116,13 +121,44 @@
     let mut out = Vec::new();
     let now = Time::from_millis(1);
     node.handle(now, START, log(0, Duration::ZERO, LeaseChange::Claim), &mut out);
-    let accepted = START;
-    let release = LeaseChange::Release { accepted };
+    let release = LeaseChange::Release { accepted: START };
     node.handle(now, START, log(1, Duration::from_secs(5), release), &mut out);
-    // The key was minted after the release; its new holder may have run it.
-    let key = IdempotencyKey::mint(START + Duration::from_secs(10), 7);
-    match outcome_of(&mut node, key) {
+    node
+}
+
+/// A key minted after the slot was given up; its new holder may have run it.
+fn later_key() -> IdempotencyKey {
+    IdempotencyKey::mint(START + Duration::from_secs(10), 7)
+}
+
+#[test]
+fn says_unknown() {
+    let mut node = past_holder();
+    let origin = Origin::Peer { budget: Default::default(), depth: 1 };
+    match outcome_of(ask(&mut node, origin, later_key())) {
         Outcome::Unknown(unknown) => assert_eq!(unknown.doubt, Doubt::HomeUnreachable),
         other => panic!("{other:?}"),
     }
 }
+
+/// The claim of the next holder is in a part of the log that cannot be read.
+#[test]
+fn asks_who_holds_it() {
+    let mut node = past_holder();
+    let origin = Origin::Caller { states_identity: false };
+    let mut next = member("swaps-a2", "127.0.0.1:7001");
+    next.slots.clear();
+    let heard = Input::PeerMembers(vec![next.clone()]);
+    node.handle(Time::from_millis(2), START, heard, &mut Vec::new());
+    let out = ask(&mut node, origin, later_key());
+    assert!(
+        out.iter().any(|o| matches!(o, Output::AskMembers { vm, .. } if *vm == next.member.vm))
+    );
+    assert!(matches!(outcome_of(out), Outcome::Unknown(_)));
+
+    next.slots.push(SlotChange { slot: Slot(0), change: LeaseChange::Renew });
+    let told = Input::PeerMembers(vec![next.clone()]);
+    node.handle(Time::from_millis(3), START, told, &mut Vec::new());
+    let out = ask(&mut node, origin, later_key());
+    assert!(out.iter().any(|o| matches!(o, Output::Send { vm, .. } if *vm == next.member.vm)));
+}
--- a/crates/poplartrail-node/tests/once_only.rs
+++ b/crates/poplartrail-node/tests/once_only.rs
@@ -178,8 +178,9 @@
     let reply = send(&fleet.caller(0), &book(&during)).await;
     assert_eq!(reply.outcome(), "answered", "a short outage stops nothing: {}", reply.text());
     tokio::time::sleep(Duration::from_secs(6)).await;
-    // Past the lease the home still answers for the keys that only it may run.
-    let reply = send(&fleet.caller(1), &book(&old)).await;
+    // Past the lease the home still answers for the keys that only it may run. A node that had
+    // not read who holds the slot when the log went asks for that first.
+    let reply = ask(&fleet.caller(1), &book(&old)).await;
     assert_eq!(reply.outcome(), "answered", "{}", reply.text());
     fleet.break_log(&Faults::default()).await;
     for key in [&old, &during] {
