Test the operators' tools, and put calls turned away on the time line

Change: an event for each call that is turned away, with the rank and service that it named; tests of the tool against running nodes, of the header fields that a hop passes and drops, and of calls for an unknown service.

--- a/crates/poplartrail-core/src/engine/arrivals.rs
+++ b/crates/poplartrail-core/src/engine/arrivals.rs
@@ -11,7 +11,7 @@
         RetryBudget,
     },
     engine::{
-        Arrival, CallKey, Calls, Life, Origin, Output, Port, Ticket,
+        Arrival, CallKey, Calls, EventKind, Life, Origin, Output, Port, Ticket,
         calls::Cx,
         live::{Live, Stage},
     },
@@ -196,6 +196,8 @@
 
     /// Refuses a call for which no place is kept.
     fn turn_away(&mut self, cx: &mut Cx<'_>, arrival: &Arrival, reason: Refusal) {
+        let kind = EventKind::TurnedAway { reason, service: arrival.service.clone() };
+        cx.note(Some(arrival.request), arrival.rank.clone(), kind);
         let context = Context {
             request: arrival.request,
             rank: self.policy.ranks.get(RankIndex(0)).name.clone(),
--- a/crates/poplartrail-core/src/engine/event.rs
+++ b/crates/poplartrail-core/src/engine/event.rs
@@ -30,6 +30,13 @@
         /// Fraction of the rank that was admitted then.
         share: f64,
     },
+    /// A call was refused before anything was decided on it.
+    TurnedAway {
+        /// Why.
+        reason: Refusal,
+        /// The service that it named.
+        service: ServiceName,
+    },
     /// A call was sent again.
     Retried {
         /// The service.
@@ -95,7 +102,7 @@
     /// A short word for filters.
     pub fn word(&self) -> &'static str {
         match self {
-            EventKind::Refused { .. } => "refused",
+            EventKind::Refused { .. } | EventKind::TurnedAway { .. } => "refused",
             EventKind::Retried { .. } => "retried",
             EventKind::InDoubt { .. } => "in-doubt",
             EventKind::LimitChanged { .. } => "limit",
@@ -115,6 +122,9 @@
             EventKind::Refused { reason, by, share } => {
                 write!(f, "refused by {by}, share {share:.3}: {reason}")
             }
+            EventKind::TurnedAway { reason, service } => {
+                write!(f, "call of {service} turned away: {reason}")
+            }
             EventKind::Retried { service, to, why, left } => {
                 write!(f, "{service} again at {to} because {why}, {left} retries left")
             }
--- a/crates/poplartrail-node/tests/bad_input.rs
+++ b/crates/poplartrail-node/tests/bad_input.rs
@@ -4,7 +4,7 @@
 
 use http::Method;
 use poplartrail_stand::{
-    caller::Call,
+    caller::{Call, Caller},
     fleet::{Fleet, FleetPlan, NodePlan},
 };
 
@@ -42,6 +42,22 @@
     assert_eq!(fleet.caller(0).send(&Call::get("/")).await.unwrap().status, 200);
 }
 
+#[tokio::test]
+async fn unknown_service() {
+    let fleet = Fleet::start(plan()).await;
+    let upstream = Caller::new(fleet.nodes[0].outbound);
+    let cases = [
+        (Call::get("/").field("poplartrail-service", "no-such-service"), 404, "base file"),
+        (Call::get("/"), 400, "poplartrail-service"),
+    ];
+    for (call, status, remedy) in cases {
+        let reply = upstream.send(&call).await.expect("the node answers");
+        assert_eq!((reply.status, reply.outcome()), (status, "not-run"), "{call:?}");
+        assert!(reply.text().contains(remedy), "{remedy:?} in {:?}", reply.text());
+    }
+    assert_eq!(fleet.caller(0).send(&Call::get("/")).await.unwrap().status, 200);
+}
+
 #[tokio::test]
 async fn garbage_on_every_port() {
     let fleet = Fleet::start(plan()).await;
--- a/crates/poplartrail-stand/src/fleet/running.rs
+++ b/crates/poplartrail-stand/src/fleet/running.rs
@@ -37,6 +37,8 @@
     pub vm: String,
     /// Address for callers.
     pub callers: SocketAddr,
+    /// Address for the upstream's outbound calls.
+    pub outbound: SocketAddr,
     /// Address for other nodes.
     pub peers: SocketAddr,
     /// Address for operators.
@@ -151,7 +153,8 @@
         let settings = file("settings.toml");
         let daemon = self.start_daemon(&plan.vm, &settings);
         let vm = plan.vm.clone();
-        let node = NodeHandle { vm, callers, peers, report, upstream, daemon, stand, settings };
+        let node =
+            NodeHandle { vm, callers, outbound, peers, report, upstream, daemon, stand, settings };
         self.nodes.push(node);
     }
 
@@ -201,6 +204,12 @@
         Caller::new(self.nodes[at].callers)
     }
 
+    /// A page that the node at `at` has for operators.
+    pub async fn page(&self, at: usize, path: &str) -> Reply {
+        let sent = Caller::new(self.nodes[at].report).send(&Call::get(path)).await;
+        sent.unwrap_or_else(|err| panic!("{path} does not answer: {err}"))
+    }
+
     /// What the node at `at` says of itself.
     pub async fn status(&self, at: usize) -> Option<Value> {
         self.get(self.nodes[at].report, "/status").await
--- a/crates/poplartrail-stand/src/upstream/counts.rs
+++ b/crates/poplartrail-stand/src/upstream/counts.rs
@@ -17,4 +17,6 @@
     pub keys: HashMap<String, u32>,
     /// Runs of each rank.
     pub ranks: HashMap<String, u64>,
+    /// Names of the header fields of the last call that was received.
+    pub last_fields: Vec<String>,
 }
--- a/crates/poplartrail-stand/src/upstream/server.rs
+++ b/crates/poplartrail-stand/src/upstream/server.rs
@@ -108,7 +108,7 @@
     async fn work(&self, request: Whole) -> Response<Body> {
         let headers = &request.parts.headers;
         let start = Instant::now();
-        self.lock().counts.received += 1;
+        self.note_fields(headers);
         let mut guard = CancelGuard { upstream: self, has_ended: false };
         if let Some(status) = self.lock().behaviour.status {
             guard.has_ended = true;
@@ -134,6 +134,13 @@
         self.answer_whole(&request, below)
     }
 
+    fn note_fields(&self, headers: &HeaderMap) {
+        let mut state = self.lock();
+        state.counts.received += 1;
+        let names = headers.keys().map(ToString::to_string);
+        state.counts.last_fields = names.collect();
+    }
+
     /// Counts a run, and tells whether its answer is to be lost.
     fn count(&self, headers: &HeaderMap) -> bool {
         let mut state = self.lock();
@@ -175,6 +182,8 @@
         let mut response = response(status, body);
         if let Some(mark) = request.parts.headers.get("x-mark") {
             response.headers_mut().insert("x-mark", mark.clone());
+            // Of the connection between the upstream and its node, and no further.
+            response.headers_mut().insert("proxy-authenticate", mark.clone());
         }
         response
     }
