Try to bound connections by the clones of the server's service

Tried: the server's service holds a place, and its clone for each connection takes the one that the accepted connection acquired. Failed: connection_bound next_waits saw a fourth connection served where three were allowed, because the server keeps the service behind a shared pointer and never clones it, so every place was given back at once.

--- a/crates/poplartrail-node/src/adapters/ingress/mod.rs
+++ b/crates/poplartrail-node/src/adapters/ingress/mod.rs
@@ -1,5 +1,6 @@
 //! The ingress duty: HTTP for callers and for the own upstream's outbound calls.
 
+mod connections;
 pub(crate) mod fields;
 mod read;
 mod reply;
--- a/crates/poplartrail-node/src/adapters/ingress/serve.rs
+++ b/crates/poplartrail-node/src/adapters/ingress/serve.rs
@@ -10,13 +10,14 @@
 };
 use poplartrail_http::read_body;
 use tokio::sync::watch;
-use volo::{Service, net::Address};
+use volo::Service;
 use volo_http::{body::Body, context::ServerContext, request::Request, server::Server};
 
 use crate::{
     adapters::{
         block_on,
         ingress::{
+            connections::{ConnectionPlace, bounded},
             read::{self, Head, Side},
             reply,
         },
@@ -43,6 +44,8 @@
     pub max_body_bytes: usize,
     /// Largest header of a request.
     pub max_header_bytes: usize,
+    /// Connections that each of the two servers may have at a time.
+    pub max_connections: usize,
     /// Requests that may wait for a reply.
     pub max_pending: usize,
     /// The time.
@@ -59,16 +62,27 @@
     block_on(async move {
         let pending = Pending::new(Port::Ingress, options.max_pending);
         tokio::spawn(hand_out(replies, pending.clone()));
-        let callers = Front {
-            side: Side::Callers(options.service.clone()),
+        let front = |side, place| Front {
+            side,
             options: options.clone(),
             decide: decide.clone(),
             pending: pending.clone(),
+            _place: place,
         };
-        let upstream = Front { side: Side::Upstream, ..callers.clone() };
+        let side = Side::Callers(options.service.clone());
         tokio::join!(
-            serve(options.callers, callers, stopped.clone()),
-            serve(options.upstream, upstream, stopped.clone()),
+            serve(
+                options.callers,
+                options.max_connections,
+                |place| front(side, place),
+                stopped.clone()
+            ),
+            serve(
+                options.upstream,
+                options.max_connections,
+                |place| front(Side::Upstream, place),
+                stopped.clone()
+            ),
         );
     });
 }
@@ -81,9 +95,12 @@
 
 async fn serve<C: Clock + Sync>(
     at: SocketAddr,
-    front: Front<C>,
+    max_connections: usize,
+    front: impl FnOnce(ConnectionPlace) -> Front<C>,
     mut stopped: watch::Receiver<bool>,
 ) {
+    let (incoming, place) = bounded(at, max_connections);
+    let front = front(place);
     let decide = front.decide.clone();
     let mut server = Server::new(front).http1_only();
     server.http1_config().set_max_headers(MAX_FIELDS);
@@ -95,7 +112,7 @@
             let _is_closed = stopped.wait_for(|is_stopped| *is_stopped).await.is_err();
         })
     });
-    if let Err(err) = server.run(Address::from(at)).await {
+    if let Err(err) = server.run(incoming).await {
         spdlog::critical!("cannot serve on {at}: {err}; choose a free address");
         std::process::exit(1);
     }
@@ -108,6 +125,7 @@
     options: IngressOptions<C>,
     decide: Ring<DecideMessage>,
     pending: Pending<Outcome>,
+    _place: ConnectionPlace,
 }
 
 impl<C: Clock + Sync> Service<ServerContext, Request> for Front<C> {
--- a/crates/poplartrail-node/src/daemon/start.rs
+++ b/crates/poplartrail-node/src/daemon/start.rs
@@ -71,6 +71,7 @@
         service: settings.service.clone(),
         max_body_bytes: settings.limits.max_body_bytes,
         max_header_bytes: settings.limits.max_header_bytes,
+        max_connections: settings.limits.max_connections,
         max_pending: len,
         clock,
     };
--- a/crates/poplartrail-settings/src/node/file.rs
+++ b/crates/poplartrail-settings/src/node/file.rs
@@ -59,6 +59,7 @@
     pub(crate) max_body_bytes: Option<u64>,
     pub(crate) max_header_bytes: Option<u64>,
     pub(crate) max_calls: Option<u64>,
+    pub(crate) max_connections: Option<u64>,
     pub(crate) ring_len: Option<u64>,
     pub(crate) ledger_mb: Option<u64>,
     pub(crate) events: Option<u64>,
--- a/crates/poplartrail-settings/src/node/settings.rs
+++ b/crates/poplartrail-settings/src/node/settings.rs
@@ -68,6 +68,8 @@
     pub max_header_bytes: usize,
     /// Calls in progress, waiting ones included.
     pub max_calls: usize,
+    /// Connections that the servers for callers and for the own upstream may each have.
+    pub max_connections: usize,
     /// Messages in a ring between two threads.
     pub ring_len: usize,
     /// Memory for outcomes of keys, in bytes.
@@ -218,6 +220,7 @@
     let body = number("limits.max_body_bytes", part.max_body_bytes, 1 << 20, 1, 1 << 30)?;
     let header = number("limits.max_header_bytes", part.max_header_bytes, 16_384, 8_192, 1 << 20)?;
     let calls = number("limits.max_calls", part.max_calls, 4_096, 1, 1_000_000)?;
+    let connections = number("limits.max_connections", part.max_connections, 1_024, 1, 1_000_000)?;
     let ring = number("limits.ring_len", part.ring_len, 8_192, 16, 1_000_000)?;
     let ledger = number("limits.ledger_mb", part.ledger_mb, 32, 1, 65_536)?;
     let events = number("limits.events", part.events, 4_096, 16, 1_000_000)?;
@@ -225,6 +228,7 @@
         max_body_bytes: body as usize,
         max_header_bytes: header as usize,
         max_calls: calls as usize,
+        max_connections: connections as usize,
         ring_len: ring as usize,
         ledger_bytes: (ledger as usize) << 20,
         events: events as usize,
