Bound the connections of the two HTTP servers

Ruled out: a duplicate of each socket to watch for its end (the copy would keep the connection open), a copy of all bytes through a pair of sockets (adds latency to every call). The listener remembers each accepted socket by the kernel's name for it and, only when all places are taken, looks every 50 ms which of them the process still has open. Before: a fourth connection was served where three were allowed. After: it waits in the backlog and is served once another closes (connection_bound).

--- a/crates/poplartrail-node/src/adapters/ingress/connections.rs
+++ b/crates/poplartrail-node/src/adapters/ingress/connections.rs
@@ -1,78 +1,93 @@
 //! The bound on the connections of one server.
 
 use std::{
-    io,
+    fs, io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    os::fd::{AsRawFd, RawFd},
+    path::PathBuf,
+    time::Duration,
 };
 
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use volo::net::{
     Address, MakeIncoming,
-    conn::Conn,
+    conn::{Conn, ConnStream},
     incoming::{DefaultIncoming, Incoming},
 };
 
-/// Accepts no more than a set number of connections at a time.
+/// Time between two looks at whether a connection has been closed, while all places are taken.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+
+/// A listener that accepts no more than `max` connections at a time.
 ///
 /// A connection beyond the bound waits in the backlog of the listening socket until one of the
-/// others is closed.
+/// others is closed. The server tells nobody when it closes a connection, so the listener looks
+/// at the process's table of open files, only when all places are taken.
 #[derive(Debug)]
-pub(crate) struct BoundedIncoming<I = SocketAddr> {
-    inner: I,
-    places: Arc<Semaphore>,
-    accepted: Arc<Mutex<Option<OwnedSemaphorePermit>>>,
+pub(crate) struct BoundedListener {
+    /// Address to listen on.
+    pub(crate) at: SocketAddr,
+    /// Connections at a time.
+    pub(crate) max: usize,
 }
 
-/// One connection's part of the bound, given back when its last clone is dropped.
-///
-/// The server keeps one service and clones it for each connection. So the first clone of
-/// [`ConnectionPlace::Unclaimed`] takes the place that the accepted connection holds, and the
-/// clones of that one, made for each request, share it.
+/// What [`BoundedListener`] accepts from.
 #[derive(Debug)]
-pub(crate) enum ConnectionPlace {
-    /// In the server's own service, which belongs to no connection.
-    Unclaimed(Arc<Mutex<Option<OwnedSemaphorePermit>>>),
-    /// In the service of one connection.
-    Claimed { _permit: Option<Arc<OwnedSemaphorePermit>> },
+pub(crate) struct BoundedIncoming {
+    inner: DefaultIncoming,
+    max: usize,
+    open: Vec<OpenSocket>,
 }
 
-impl Clone for ConnectionPlace {
-    fn clone(&self) -> Self {
-        match self {
-            Self::Unclaimed(accepted) => {
-                let permit = accepted.lock().unwrap_or_else(PoisonError::into_inner).take();
-                Self::Claimed { _permit: permit.map(Arc::new) }
-            }
-            Self::Claimed { _permit } => Self::Claimed { _permit: _permit.clone() },
-        }
+/// A socket that was open when it was accepted.
+#[derive(Debug)]
+struct OpenSocket {
+    fd: RawFd,
+    /// The kernel's name of the socket, which no other one has while it is open.
+    name: PathBuf,
+}
+
+impl OpenSocket {
+    fn of(conn: &Conn) -> Option<Self> {
+        let ConnStream::Tcp(stream) = &conn.stream else { return None };
+        let fd = stream.as_raw_fd();
+        name_of(fd).map(|name| Self { fd, name })
+    }
+
+    fn is_open(&self) -> bool {
+        name_of(self.fd).is_some_and(|name| name == self.name)
     }
 }
 
-/// A listener on `at` for at most `max` connections, and the place for its service.
-pub(crate) fn bounded(at: SocketAddr, max: usize) -> (BoundedIncoming, ConnectionPlace) {
-    let accepted = Arc::new(Mutex::new(None));
-    let places = Arc::new(Semaphore::new(max));
-    let incoming = BoundedIncoming { inner: at, places, accepted: accepted.clone() };
-    (incoming, ConnectionPlace::Unclaimed(accepted))
+fn name_of(fd: RawFd) -> Option<PathBuf> {
+    fs::read_link(format!("/proc/self/fd/{fd}")).ok()
 }
 
-impl MakeIncoming for BoundedIncoming {
-    type Incoming = BoundedIncoming<DefaultIncoming>;
+impl MakeIncoming for BoundedListener {
+    type Incoming = BoundedIncoming;
 
     async fn make_incoming(self) -> io::Result<Self::Incoming> {
-        let inner = Address::from(self.inner).make_incoming().await?;
-        Ok(BoundedIncoming { inner, places: self.places, accepted: self.accepted })
+        let inner = Address::from(self.at).make_incoming().await?;
+        Ok(BoundedIncoming { inner, max: self.max, open: Vec::new() })
     }
 }
 
-impl Incoming for BoundedIncoming<DefaultIncoming> {
+impl BoundedIncoming {
+    /// Waits until fewer than the greatest number of connections are open.
+    async fn await_place(&mut self) {
+        while self.open.len() >= self.max {
+            self.open.retain(OpenSocket::is_open);
+            if self.open.len() >= self.max {
+                tokio::time::sleep(LOOK_PAUSE).await;
+            }
+        }
+    }
+}
+
+impl Incoming for BoundedIncoming {
     async fn accept(&mut self) -> io::Result<Option<Conn>> {
-        let permit = self.places.clone().acquire_owned().await.map_err(io::Error::other)?;
+        self.await_place().await;
         let conn = self.inner.accept().await?;
-        if conn.is_some() {
-            *self.accepted.lock().unwrap_or_else(PoisonError::into_inner) = Some(permit);
-        }
+        self.open.extend(conn.as_ref().and_then(OpenSocket::of));
         Ok(conn)
     }
 }
--- a/crates/poplartrail-node/src/adapters/ingress/serve.rs
+++ b/crates/poplartrail-node/src/adapters/ingress/serve.rs
@@ -17,7 +17,7 @@
     adapters::{
         block_on,
         ingress::{
-            connections::{ConnectionPlace, bounded},
+            connections::BoundedListener,
             read::{self, Head, Side},
             reply,
         },
@@ -62,27 +62,16 @@
     block_on(async move {
         let pending = Pending::new(Port::Ingress, options.max_pending);
         tokio::spawn(hand_out(replies, pending.clone()));
-        let front = |side, place| Front {
+        let front = |side| Front {
             side,
             options: options.clone(),
             decide: decide.clone(),
             pending: pending.clone(),
-            _place: place,
         };
         let side = Side::Callers(options.service.clone());
         tokio::join!(
-            serve(
-                options.callers,
-                options.max_connections,
-                |place| front(side, place),
-                stopped.clone()
-            ),
-            serve(
-                options.upstream,
-                options.max_connections,
-                |place| front(Side::Upstream, place),
-                stopped.clone()
-            ),
+            serve(options.callers, front(side), stopped.clone()),
+            serve(options.upstream, front(Side::Upstream), stopped.clone()),
         );
     });
 }
@@ -95,12 +84,10 @@
 
 async fn serve<C: Clock + Sync>(
     at: SocketAddr,
-    max_connections: usize,
-    front: impl FnOnce(ConnectionPlace) -> Front<C>,
+    front: Front<C>,
     mut stopped: watch::Receiver<bool>,
 ) {
-    let (incoming, place) = bounded(at, max_connections);
-    let front = front(place);
+    let listener = BoundedListener { at, max: front.options.max_connections };
     let decide = front.decide.clone();
     let mut server = Server::new(front).http1_only();
     server.http1_config().set_max_headers(MAX_FIELDS);
@@ -112,7 +99,7 @@
             let _is_closed = stopped.wait_for(|is_stopped| *is_stopped).await.is_err();
         })
     });
-    if let Err(err) = server.run(incoming).await {
+    if let Err(err) = server.run(listener).await {
         spdlog::critical!("cannot serve on {at}: {err}; choose a free address");
         std::process::exit(1);
     }
@@ -125,7 +112,6 @@
     options: IngressOptions<C>,
     decide: Ring<DecideMessage>,
     pending: Pending<Outcome>,
-    _place: ConnectionPlace,
 }
 
 impl<C: Clock + Sync> Service<ServerContext, Request> for Front<C> {
