Let a run without deadlines be truly without, and measure ring crossings

Cause: switching deadlines off left the timer that ends late calls, so no run showed what deadlines are for; and the lab began its limits at 8 where the product begins at 24. Change: the switch takes the timers too; one first limit for all; a table row and a test; `crossing` measures a message from an adapter's thread to the decide thread and back.

--- /dev/null
+++ b/crates/poplartrail-bench/src/bin/crossing.rs
@@ -0,0 +1,70 @@
+//! Cost of handing a message from one duty's thread to another and back.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use bpaf::Bpaf;
+use hdrhistogram::Histogram;
+use poplartrail_node::ports::{Ring, RingReader, ring};
+
+/// Longest wait of the parked thread, as that of the decide duty without timers.
+const PARK: Duration = Duration::from_secs(5);
+/// Turns before the counted ones.
+const WARM: usize = 1_000;
+
+/// Measures a message from an adapter's thread to the decide thread and back
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// Turns that are counted
+    #[bpaf(fallback(20_000))]
+    turns: usize,
+    /// Microseconds of rest before each turn, in which both threads park
+    #[bpaf(fallback(200))]
+    rest_us: u64,
+}
+
+fn main() {
+    let options = options().run();
+    let (to_decide, decide_inbox) = ring(64);
+    let (to_adapter, adapter_inbox) = ring(64);
+    let decide = thread::spawn(move || hand_back(&decide_inbox, &to_adapter));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime can be built");
+    let times = runtime.block_on(measure(&options, &to_decide, &adapter_inbox));
+    drop(to_decide);
+    decide.join().expect("the thread ends with its ring");
+    println!(
+        "two crossings, rest {} us: p50 {:.1} us, p99 {:.1} us of {}",
+        options.rest_us,
+        times.value_at_quantile(0.5) as f64 / 1e3,
+        times.value_at_quantile(0.99) as f64 / 1e3,
+        times.len(),
+    );
+}
+
+fn hand_back(inbox: &RingReader<usize>, to_adapter: &Ring<usize>) {
+    while let Ok(turn) = inbox.take_within(PARK) {
+        assert!(to_adapter.offer(turn).is_ok(), "the ring has room");
+    }
+}
+
+async fn measure(
+    options: &Options,
+    to_decide: &Ring<usize>,
+    inbox: &RingReader<usize>,
+) -> Histogram<u64> {
+    let mut times = Histogram::new(3).expect("three digits are in range");
+    for turn in 0..options.turns + WARM {
+        tokio::time::sleep(Duration::from_micros(options.rest_us)).await;
+        let start = Instant::now();
+        to_decide.push(turn).await;
+        inbox.next().await;
+        if turn >= WARM {
+            times.record(start.elapsed().as_nanos() as u64).expect("the time is in range");
+        }
+    }
+    times
+}
--- a/crates/poplartrail-bench/src/bin/lab.rs
+++ b/crates/poplartrail-bench/src/bin/lab.rs
@@ -55,8 +55,14 @@
     }
 }
 
-fn graphs() -> [(&'static str, Graph); 3] {
-    [("vn-south", vn_south()), ("ie-midlands", ie_midlands()), ("deep", deep())]
+fn graphs() -> [(&'static str, Graph); 5] {
+    [
+        ("vn-south", vn_south()),
+        ("ie-midlands", ie_midlands()),
+        ("deep", deep()),
+        ("bottom", bottom()),
+        ("tight", tight()),
+    ]
 }
 
 fn goodput(graph: &Graph, tally: &Tally) -> f64 {
@@ -116,7 +122,9 @@
 
 fn recoveries() {
     let graph = vn_south();
-    for baseline in [Baseline::Full, Baseline::NoLimit, Baseline::StaticLimit(100)] {
+    for baseline in
+        [Baseline::Full, Baseline::NoLimit, Baseline::StaticLimit(100), Baseline::NoDeadlines]
+    {
         for trouble in Trouble::ALL {
             let run = recover(&graph, trouble, baseline, 1);
             println!(
--- a/crates/poplartrail-bench/src/lab/world.rs
+++ b/crates/poplartrail-bench/src/lab/world.rs
@@ -26,8 +26,6 @@
 
 /// Wall-clock time at the start of a run.
 const WALL_START: WallTime = WallTime::from_millis(1_800_000_000_000);
-/// First limit of a gate that knows nothing of its upstream.
-const FIRST_LIMIT: usize = 8;
 /// Time after the counted one in which the counted requests can end.
 const RUN_OUT: Duration = Duration::from_secs(4);
 /// Time after which the network's silence is noticed: a few round trips, 100 ms at least.
@@ -146,7 +144,7 @@
         self
     }
 
-    /// Sets whether calls that cannot finish in time are refused.
+    /// Sets whether calls that cannot finish in time are refused, and late ones ended.
     #[must_use]
     pub fn has_deadlines(mut self, has_deadlines: bool) -> Self {
         self.has_deadlines = has_deadlines;
@@ -257,7 +255,7 @@
             ranks,
             loads: Vec::new(),
             faults: Vec::new(),
-            law: Some(Law::Gradient(Gradient::new(FIRST_LIMIT))),
+            law: Some(Law::Gradient(Gradient::default())),
             has_shares: true,
             has_deadlines: true,
             mechanisms: Mechanisms::default(),
--- a/crates/poplartrail-bench/src/scenarios/baselines.rs
+++ b/crates/poplartrail-bench/src/scenarios/baselines.rs
@@ -31,7 +31,7 @@
     NoPathShares,
     /// No division among the ranks: the queue's order alone decides.
     NoShares,
-    /// Work whose deadline has passed is still begun.
+    /// Work whose deadline has passed is still begun and finished.
     NoDeadlines,
 }
 
@@ -98,7 +98,7 @@
             Limits::Fixed => Law::Fixed(Fixed::new(100)),
             Limits::Aimd => Law::Aimd(Aimd::new(FIRST_LIMIT, AIMD_THRESHOLD)),
             Limits::Vegas => Law::Vegas(Vegas::new(FIRST_LIMIT)),
-            Limits::Gradient => Law::Gradient(Gradient::new(FIRST_LIMIT)),
+            Limits::Gradient => Law::Gradient(Gradient::default()),
         }
     }
 }
--- a/crates/poplartrail-bench/tests/recovery_time.rs
+++ b/crates/poplartrail-bench/tests/recovery_time.rs
@@ -22,3 +22,10 @@
     let run = recover(&vn_south(), Trouble::HardRetries, Baseline::NoLimit, 1);
     assert!(run.seconds.is_none_or(|seconds| seconds > LONGEST), "{:?}", run.seconds);
 }
+
+#[test]
+fn serves_less_without_deadlines() {
+    let during = |baseline| recover(&vn_south(), Trouble::Together, baseline, 1).during;
+    let (with, without) = (during(Baseline::Full), during(Baseline::NoDeadlines));
+    assert!(with > without, "{with:.0} and {without:.0} whole requests a second");
+}
--- a/crates/poplartrail-core/src/engine/arrivals.rs
+++ b/crates/poplartrail-core/src/engine/arrivals.rs
@@ -92,7 +92,9 @@
             children_time: Duration::ZERO,
         });
         self.tickets.insert(ticket, key);
-        self.timers.set(inherited.deadline, key);
+        if self.options.has_deadlines {
+            self.timers.set(inherited.deadline, key);
+        }
         self.ratio.earn();
         if let Origin::Upstream { parent: Some(parent) } = origin
             && let Some(parent) = self.live.get_mut(parent)
--- a/crates/poplartrail-core/src/engine/calls.rs
+++ b/crates/poplartrail-core/src/engine/calls.rs
@@ -30,8 +30,6 @@
 const PATH_SHARE_FRESH: Duration = Duration::from_millis(5);
 /// Time after the last call to a service for which its shares count.
 const CALLED_WINDOW: Duration = Duration::from_secs(10);
-/// First limit of a gate that knows nothing of its upstream.
-const FIRST_LIMIT: usize = 24;
 /// Highest first limit, whatever the upstream says of itself.
 const MAX_FIRST_LIMIT: usize = 64;
 
@@ -50,7 +48,7 @@
 impl Default for CallsOptions {
     fn default() -> Self {
         Self {
-            law: Some(Law::Gradient(Gradient::new(FIRST_LIMIT))),
+            law: Some(Law::Gradient(Gradient::default())),
             has_shares: true,
             has_deadlines: true,
             mechanisms: Mechanisms::default(),
@@ -81,7 +79,7 @@
         self
     }
 
-    /// Sets whether calls that cannot finish in time are refused.
+    /// Sets whether calls that cannot finish in time are refused, and late ones ended.
     #[must_use]
     pub fn has_deadlines(mut self, has_deadlines: bool) -> Self {
         self.has_deadlines = has_deadlines;
@@ -258,7 +256,8 @@
 
     /// Starts the gate's law again, after the upstream has come back.
     pub(crate) fn restart_gate(&mut self, slots: Option<usize>) {
-        let first = slots.map_or(FIRST_LIMIT, |s| (s / 2).clamp(FIRST_LIMIT, MAX_FIRST_LIMIT));
+        let least = Gradient::FIRST_LIMIT;
+        let first = slots.map_or(least, |s| (s / 2).clamp(least, MAX_FIRST_LIMIT));
         if let Some(Law::Gradient(_)) = self.options.law {
             self.gate.set_law(Law::Gradient(Gradient::new(first)));
         }
--- a/crates/poplartrail-core/src/gate/gradient.rs
+++ b/crates/poplartrail-core/src/gate/gradient.rs
@@ -179,7 +179,16 @@
     experiment_at: Time,
 }
 
+impl Default for Gradient {
+    fn default() -> Self {
+        Self::new(Self::FIRST_LIMIT)
+    }
+}
+
 impl Gradient {
+    /// First limit for an upstream of which nothing is known.
+    pub const FIRST_LIMIT: usize = 24;
+
     /// Starts a ramp from `initial` calls in progress.
     pub fn new(initial: usize) -> Self {
         Self {
