Tell the share of every rank with each answer, and count what was shed above

Cause: in `bottom`, a chain of 22 whose last service takes half of the entry, 17% of slot time at 2x went into requests that failed. Shares printed every 100 ms showed two things. An answer told the share of its own rank only, so a rank that was shed at the entry had no answers, its old share aged to "all" within a second, and the entry opened while the bottom was closed. And the bottom, whose callers shed for it, saw the demand vanish and opened too. Change: answers carry all shares, used when both ends have the same configuration; a call carries the smallest share it passed, and a gate counts it for the inverse; a service's share is the mean of its instances.

--- a/crates/poplartrail-bench/src/bin/lab.rs
+++ b/crates/poplartrail-bench/src/bin/lab.rs
@@ -11,6 +11,8 @@
 
 /// Seconds that a run counts.
 const SECONDS: u64 = 12;
+/// Seeds of a spread.
+const SEEDS: [u64; 4] = [1, 2, 3, 4];
 
 /// Prints a table of virtual-time measurements
 #[derive(Debug, Clone, Bpaf)]
@@ -19,6 +21,9 @@
     /// Goodput under overload
     #[bpaf(command)]
     Overload,
+    /// Goodput under overload over several seeds
+    #[bpaf(command)]
+    Spread,
     /// The same without some mechanism
     #[bpaf(command)]
     Baselines,
@@ -45,6 +50,7 @@
 fn main() {
     match table().run() {
         Table::Overload => overloads(),
+        Table::Spread => spread(),
         Table::Baselines => baselines(),
         Table::Laws => laws(),
         Table::Recovery => recoveries(),
@@ -98,6 +104,27 @@
     }
 }
 
+/// How much of a figure is the seed's.
+fn spread() {
+    for (name, graph) in graphs() {
+        for times in [2.0, 10.0] {
+            let runs: Vec<Tally> = SEEDS
+                .map(|seed| overload(&graph, times, SECONDS).seed(seed).run())
+                .into_iter()
+                .collect();
+            let goodputs: Vec<f64> = runs.iter().map(|tally| goodput(&graph, tally)).collect();
+            let wasted: Vec<f64> = runs.iter().map(Tally::wasted_share).collect();
+            let mean = |of: &[f64]| of.iter().sum::<f64>() / of.len() as f64;
+            println!(
+                "{name} {times}x: goodput mean {:.3} of {goodputs:.3?}, wasted mean {:.3} of \
+                 {wasted:.3?}",
+                mean(&goodputs),
+                mean(&wasted),
+            );
+        }
+    }
+}
+
 fn baselines() {
     for (name, graph) in [("vn-south", vn_south()), ("bottom", bottom()), ("tight", tight())] {
         for baseline in Baseline::ALL {
--- a/crates/poplartrail-bench/src/lab/world.rs
+++ b/crates/poplartrail-bench/src/lab/world.rs
@@ -471,7 +471,9 @@
                 self.dispatch(node, call, job);
             }
             Output::CancelDispatch { call } => self.cancel_dispatch(node, call),
-            Output::Send { call, attempt, to, context, budget, payload, service, .. } => {
+            Output::Send {
+                call, attempt, to, context, budget, passed, payload, service, ..
+            } => {
                 let other = usize::from(to.port()) - 1;
                 let waiter = Waiter::Peer { node, call, attempt };
                 let ticket = self.ticket(Port::Peers, waiter);
@@ -483,7 +485,7 @@
                 let depth = context.depth;
                 let arrival = Arrival {
                     ticket,
-                    origin: Origin::Peer { budget, depth },
+                    origin: Origin::Peer { budget, depth, passed },
                     service,
                     request: context.request,
                     rank: Some(context.rank),
--- a/crates/poplartrail-core/src/engine/arrivals.rs
+++ b/crates/poplartrail-core/src/engine/arrivals.rs
@@ -8,7 +8,7 @@
 use crate::{
     call::{
         Arrived, Call, Context, Doubt, Draw, Effect, NotRun, Outcome, Payload, Refusal, RequestId,
-        RetryBudget,
+        RetryBudget, Share,
     },
     engine::{
         Arrival, CallKey, Calls, EventKind, Life, Origin, Output, Port, Ticket,
@@ -51,6 +51,7 @@
 struct Inherited {
     request: RequestId,
     budget: RetryBudget,
+    passed: Share,
     depth: u8,
     deadline: Time,
     rank: RankIndex,
@@ -87,6 +88,7 @@
             attempt: 0,
             instance: None,
             place: Place::default(),
+            passed: inherited.passed,
             children: 0,
             children_since: Time::ZERO,
             children_time: Duration::ZERO,
@@ -130,12 +132,12 @@
             None => {
                 let rank = named.unwrap_or(last);
                 let target = cx.now + self.policy.ranks.get(rank).target;
-                let (budget, depth) = match arrival.origin {
-                    Origin::Peer { budget, depth } => (budget, depth),
-                    _ => (self.begin_request(cx.now, arrival)?, 0),
+                let (budget, depth, passed) = match arrival.origin {
+                    Origin::Peer { budget, depth, passed } => (budget, depth, passed),
+                    _ => (self.begin_request(cx.now, arrival)?, 0, Share::FULL),
                 };
                 let deadline = arrival.deadline.unwrap_or(target);
-                Inherited { request: arrival.request, budget, depth, deadline, rank }
+                Inherited { request: arrival.request, budget, passed, depth, deadline, rank }
             }
         };
         if inherited.depth > self.policy.bounds.max_depth {
@@ -148,7 +150,7 @@
         let full = self.full_budget();
         let is_shared = self.options.mechanisms.has_shared_budget;
         let live = &mut self.live[parent];
-        let (rank, deadline) = (live.rank, live.deadline);
+        let (rank, deadline, passed) = (live.rank, live.deadline, live.passed);
         let lent = live.budget.lend();
         let (request, depth) = match &live.stage {
             Stage::Running(call) => (call.context().request, call.context().depth + 1),
@@ -156,7 +158,7 @@
         };
         let budget = if is_shared { lent } else { full };
         let deadline = arrival.deadline.map_or(deadline, |d| d.min(deadline));
-        Inherited { request, budget, depth, deadline, rank }
+        Inherited { request, budget, passed, depth, deadline, rank }
     }
 
     fn full_budget(&self) -> RetryBudget {
@@ -358,6 +360,7 @@
         let rank = self.live[key].rank;
         let draw = self.draw_of(call.context().request);
         let begins_here = call.context().depth == 0;
+        let passed = self.live[key].passed;
         let call = call.admit();
         let offer = Offer {
             call: key,
@@ -365,14 +368,14 @@
             draw,
             deadline: call.context().deadline,
             is_begun: !begins_here,
+            passed,
         };
         self.live[key].stage = Stage::Waiting(call);
         let mut steps = Vec::new();
-        let is_shed_below = begins_here
-            && self.options.mechanisms.has_path_shares
-            && !self.path_share(cx.now, rank).admits(draw)
-            && self.gate.share(rank).admits(draw);
-        if is_shed_below {
+        let own = self.gate.share(rank);
+        let path = if begins_here { self.path_share(cx.now, rank) } else { own.with_slack() };
+        self.live[key].passed = passed.min(path);
+        if begins_here && own.admits(draw) && !path.admits(draw) {
             steps.push(GateStep::Refuse(key, Refusal::Overload));
         } else {
             self.gate.offer(cx.now, offer, &mut steps);
--- a/crates/poplartrail-core/src/engine/ending.rs
+++ b/crates/poplartrail-core/src/engine/ending.rs
@@ -86,7 +86,10 @@
     ) -> GateReport {
         let limit = self.gate.limit().max(1);
         let load = (self.gate.in_flight() + self.gate.queued()) as f64 / limit as f64;
+        let ranks = (0..self.policy.ranks.len()).map(|rank| RankIndex(rank as u8));
+        let shares = ranks.map(|rank| self.path_share(cx.now, rank)).collect();
         GateReport {
+            shares,
             share: self.path_share(cx.now, rank),
             load: (load * 1024.0).min(f64::from(u16::MAX)) as u16,
             is_draining: cx.life.is_draining(),
--- a/crates/poplartrail-core/src/engine/input.rs
+++ b/crates/poplartrail-core/src/engine/input.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    call::{Answer, Doubt, Effect, Payload, Refusal, RequestId, RetryBudget},
+    call::{Answer, Doubt, Effect, Payload, Refusal, RequestId, RetryBudget, Share},
     config::Snapshot,
     engine::CallKey,
     member::MemberRecord,
@@ -49,6 +49,8 @@
         budget: RetryBudget,
         /// Calls above this one in the chain.
         depth: u8,
+        /// Smallest share of its rank that the request has passed.
+        passed: Share,
     },
 }
 
--- a/crates/poplartrail-core/src/engine/live.rs
+++ b/crates/poplartrail-core/src/engine/live.rs
@@ -5,7 +5,7 @@
 use slotmap::new_key_type;
 
 use crate::{
-    call::{Admitted, Arrived, Call, Dispatched, Effect, RequestId, RetryBudget, Sent},
+    call::{Admitted, Arrived, Call, Dispatched, Effect, RequestId, RetryBudget, Sent, Share},
     engine::{Origin, Ticket},
     gate::Place,
     policy::RankIndex,
@@ -40,6 +40,8 @@
     pub(crate) stage: Stage,
     /// Who waits for the reply; `None` once nobody does.
     pub(crate) ticket: Option<Ticket>,
+    /// Smallest share of its rank that the request has passed.
+    pub(crate) passed: Share,
     /// Where it came from.
     pub(crate) origin: Origin,
     /// Its rank.
--- a/crates/poplartrail-core/src/engine/output.rs
+++ b/crates/poplartrail-core/src/engine/output.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::{
-    call::{Context, Outcome, Payload, RetryBudget},
+    call::{Context, Outcome, Payload, RetryBudget, Share},
     config::Snapshot,
     engine::{CallKey, Event, Ticket},
     member::MemberRecord,
@@ -53,6 +53,8 @@
         context: Context,
         /// Retries that the other node may cause.
         budget: RetryBudget,
+        /// Smallest share of its rank that the request has passed.
+        passed: Share,
         /// Its content.
         payload: Payload,
     },
--- a/crates/poplartrail-core/src/engine/returns.rs
+++ b/crates/poplartrail-core/src/engine/returns.rs
@@ -158,7 +158,7 @@
         }
         let Some(Stage::Away(call)) = self.take_stage(key) else { return };
         match result {
-            Ok((outcome, report)) => self.peer_answered(cx, key, call, outcome, report),
+            Ok((outcome, report)) => self.peer_answered(cx, key, call, outcome, &report),
             Err(fault) => self.peer_failed(cx, key, call, fault),
         }
     }
@@ -169,15 +169,16 @@
         key: CallKey,
         call: Call<Sent>,
         outcome: PeerOutcome,
-        report: GateReport,
+        report: &GateReport,
     ) {
         let live = &mut self.live[key];
         live.budget.restore(live.carried, report.unspent);
         let (rank, instance) = (live.rank, live.instance);
         if let Some(instance) = instance {
             let latency = cx.now.since(call.state().at);
-            self.router.note_answer(cx.now, instance, rank, latency, report);
-            self.ask_newer_config(cx, instance, report);
+            let config = cx.keeper.config_version();
+            self.router.note_answer(cx.now, instance, rank, latency, config, report);
+            self.ask_newer_config(cx, instance, report.config);
         }
         match outcome {
             PeerOutcome::Answered(answer) => {
@@ -244,9 +245,9 @@
         &mut self,
         cx: &mut Cx<'_>,
         instance: crate::route::InstanceKey,
-        report: GateReport,
+        config: u64,
     ) {
-        if cx.keeper.wants_config(cx.now, report.config)
+        if cx.keeper.wants_config(cx.now, config)
             && let Some(instance) = self.router.get(instance)
         {
             cx.out.push(Output::AskConfig { to: instance.addr, vm: instance.vm.clone() });
--- a/crates/poplartrail-core/src/engine/sending.rs
+++ b/crates/poplartrail-core/src/engine/sending.rs
@@ -129,6 +129,8 @@
     ) {
         let Some(target) = self.router.get(instance) else { return };
         let (vm, to) = (target.vm.clone(), target.addr);
+        // Calls beyond the instance's share go elsewhere, so it hears nothing of them.
+        let admitted = target.share(cx.now, self.live[key].rank).with_slack();
         self.router.note_sent(cx.now, instance);
         let live = &mut self.live[key];
         live.attempt += 1;
@@ -142,6 +144,7 @@
             service: call.service().clone(),
             context: call.context().clone(),
             budget: live.carried,
+            passed: live.passed.min(admitted),
             payload: call.payload().clone(),
         });
         live.stage = Stage::Away(call.send(cx.now));
--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -46,6 +46,8 @@
     pub deadline: Time,
     /// Whether other services have worked on the request already.
     pub is_begun: bool,
+    /// Smallest share of its rank that gates before this one have admitted.
+    pub passed: Share,
 }
 
 impl Offer {
@@ -103,7 +105,8 @@
 #[derive(Debug, Clone, Copy)]
 struct RankState {
     arrived: u32,
-    in_share: u32,
+    /// Calls that would have arrived if every gate had admitted everything.
+    whole: f64,
     rate: f64,
     share: Share,
 }
@@ -130,7 +133,7 @@
 impl Gate {
     /// A gate with nothing in progress.
     pub fn new(options: GateOptions, ranks: &Ranks) -> Self {
-        let start = RankState { arrived: 0, in_share: 0, rate: 0.0, share: Share::FULL };
+        let start = RankState { arrived: 0, whole: 0.0, rate: 0.0, share: Share::FULL };
         Self {
             queue: RankQueue::new(ranks.len(), options.queue_len),
             worths: ranks.iter().map(|r| (r.worth, r.is_urgent)).collect(),
@@ -159,7 +162,7 @@
     ///
     /// Waiting calls keep their order; calls of ranks that are gone count as the least urgent.
     pub fn set_ranks(&mut self, ranks: &Ranks, queue_len: usize) {
-        let start = RankState { arrived: 0, in_share: 0, rate: 0.0, share: Share::FULL };
+        let start = RankState { arrived: 0, whole: 0.0, rate: 0.0, share: Share::FULL };
         self.options.queue_len = queue_len;
         self.worths = ranks.iter().map(|r| (r.worth, r.is_urgent)).collect();
         self.ranks = vec![start; ranks.len()];
@@ -199,13 +202,10 @@
     /// Decides on a call that has arrived.
     pub fn offer(&mut self, now: Time, offer: Offer, steps: &mut Vec<GateStep>) {
         let state = &mut self.ranks[offer.rank.index()];
-        state.arrived += 1;
-        if self.options.has_shares {
-            if !offer.is_within(state.share) {
-                self.shed(&offer, Refusal::Overload, steps);
-                return;
-            }
-            state.in_share += 1;
+        state.count(&offer);
+        if self.options.has_shares && !offer.is_within(state.share) {
+            self.shed(&offer, Refusal::Overload, steps);
+            return;
         }
         if self.is_too_late(now, &offer) {
             steps.push(GateStep::Refuse(offer.call, Refusal::TooLate));
@@ -270,7 +270,7 @@
         }
         for state in &mut self.ranks {
             state.arrived = 0;
-            state.in_share = 0;
+            state.whole = 0.0;
         }
         self.use_sum = 0.0;
         self.interval_at = now;
@@ -392,17 +392,21 @@
 }
 
 impl RankState {
+    /// Counts a call for all those of its rank that were shed before this gate.
+    ///
+    /// A call that arrives under a share stands for the inverse of that share (Horvitz and
+    /// Thompson, 1952). Without this, a gate whose callers shed for it would take the demand for
+    /// gone, admit everything, and be overrun once its callers have heard of that.
+    fn count(&mut self, offer: &Offer) {
+        self.arrived += 1;
+        self.whole += 1.0 / offer.passed.fraction().max(GROWTH_FLOOR);
+    }
+
     /// Estimates the rate that would arrive if every gate admitted everything.
     fn update_rate(&mut self, length: f64) {
-        let fraction = self.share.fraction();
-        let whole = if fraction > GROWTH_FLOOR {
-            f64::from(self.in_share) / fraction
-        } else {
-            f64::from(self.arrived)
-        };
         // Few calls tell little, so their interval counts for little.
         let weight = (f64::from(self.arrived) / DEMAND_CALLS).clamp(DEMAND_MIN_WEIGHT, 1.0);
-        self.rate += DEMAND_WEIGHT * weight * (whole / length - self.rate);
+        self.rate += DEMAND_WEIGHT * weight * (self.whole / length - self.rate);
     }
 
     fn move_share(&mut self, target: Share) {
--- a/crates/poplartrail-core/src/route/instance.rs
+++ b/crates/poplartrail-core/src/route/instance.rs
@@ -122,8 +122,22 @@
         self.last_heard
     }
 
-    pub(crate) fn note_report(&mut self, now: Time, rank: RankIndex, report: GateReport) {
-        if let Some(slot) = self.shares.get_mut(rank.index()) {
+    /// Takes in a report; `config` is the configuration of the node that reads it.
+    ///
+    /// Under the same configuration both know the same ranks, and an answer to a call of one
+    /// rank tells of all: a rank that is shed above hardly has answers of its own.
+    pub(crate) fn note_report(
+        &mut self,
+        now: Time,
+        rank: RankIndex,
+        config: u64,
+        report: &GateReport,
+    ) {
+        if report.config == config && report.shares.len() == self.shares.len() {
+            for (slot, share) in self.shares.iter_mut().zip(&report.shares) {
+                *slot = ShareReport { share: *share, at: now };
+            }
+        } else if let Some(slot) = self.shares.get_mut(rank.index()) {
             *slot = ShareReport { share: report.share, at: now };
         }
         self.load = report.load;
--- a/crates/poplartrail-core/src/route/report.rs
+++ b/crates/poplartrail-core/src/route/report.rs
@@ -3,10 +3,12 @@
 use crate::call::{RetryBudget, Share};
 
 /// State of a gate, carried back on each answer, so that it costs no message of its own.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GateReport {
     /// Fraction of the call's rank that the gate and everything below it admit.
     pub share: Share,
+    /// The same for every rank, in the order of the configuration that the node has in force.
+    pub shares: Vec<Share>,
     /// Calls in progress as parts of 1 024 of the limit.
     pub load: u16,
     /// Whether the node is leaving.
@@ -21,6 +23,7 @@
     fn default() -> Self {
         Self {
             share: Share::FULL,
+            shares: Vec::new(),
             load: 0,
             is_draining: false,
             unspent: RetryBudget::default(),
--- a/crates/poplartrail-core/src/route/router.rs
+++ b/crates/poplartrail-core/src/route/router.rs
@@ -134,13 +134,19 @@
         self.services.get(service).is_some_and(|keys| !keys.is_empty())
     }
 
-    /// Largest share of `rank` that an open instance of `service` admits.
+    /// Share of `rank` that the open instances of `service` admit together.
+    ///
+    /// This is their mean, as calls are spread over them; one that admits everything has room
+    /// for more than its part.
     pub fn share(&self, now: Time, service: &ServiceName, rank: RankIndex) -> Share {
-        self.of_service(service)
-            .filter(|(_, i)| i.is_open(now))
-            .map(|(_, i)| i.share(now, rank))
-            .max()
-            .unwrap_or(Share::FULL)
+        let (mut sum, mut count, mut is_full) = (0, 0, false);
+        for (_, instance) in self.of_service(service).filter(|(_, i)| i.is_open(now)) {
+            let share = instance.share(now, rank);
+            is_full |= share == Share::FULL;
+            sum += share.parts();
+            count += 1;
+        }
+        if is_full || count == 0 { Share::FULL } else { Share::from_parts(sum / count) }
     }
 
     /// Chooses the cheaper of two random open instances that admit `draw`, other than `avoid`.
@@ -205,12 +211,13 @@
         key: InstanceKey,
         rank: RankIndex,
         latency: Duration,
-        report: GateReport,
+        config: u64,
+        report: &GateReport,
     ) {
         if let Some(instance) = self.instances.get_mut(key) {
             instance.outstanding = instance.outstanding.saturating_sub(1);
             instance.silence.heard(now, latency);
-            instance.note_report(now, rank, report);
+            instance.note_report(now, rank, config, report);
         }
     }
 
--- a/crates/poplartrail-core/tests/given_up_slot.rs
+++ b/crates/poplartrail-core/tests/given_up_slot.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use poplartrail_core::{
-    call::{Doubt, Effect, Outcome, Payload, RequestId},
+    call::{Doubt, Effect, Outcome, Payload, RequestId, Share},
     config::{Document, DocumentCheck, DocumentId},
     engine::{
         Arrival, CallsOptions, Input, Keeper, LogBatch, LogRecord, Node, NodeOptions, Origin,
@@ -134,7 +134,7 @@
 #[test]
 fn says_unknown() {
     let mut node = past_holder();
-    let origin = Origin::Peer { budget: Default::default(), depth: 1 };
+    let origin = Origin::Peer { budget: Default::default(), depth: 1, passed: Share::FULL };
     match outcome_of(ask(&mut node, origin, later_key())) {
         Outcome::Unknown(unknown) => assert_eq!(unknown.doubt, Doubt::HomeUnreachable),
         other => panic!("{other:?}"),
--- a/crates/poplartrail-node/src/adapters/peers/run.rs
+++ b/crates/poplartrail-node/src/adapters/peers/run.rs
@@ -126,10 +126,21 @@
             PeersMessage::Reply { ticket, outcome, report } => {
                 self.pending.fulfil(ticket, (outcome, report));
             }
-            PeersMessage::Send { call, attempt, vm, to, service, context, budget, payload } => {
+            PeersMessage::Send {
+                call,
+                attempt,
+                vm,
+                to,
+                service,
+                context,
+                budget,
+                passed,
+                payload,
+            } => {
                 let now = self.options.clock.now();
                 let from = &self.options.vm;
-                let bytes = call::encode_call(from, &service, now, &context, budget, &payload);
+                let bytes =
+                    call::encode_call(from, &service, now, &context, (budget, passed), &payload);
                 self.send(call, attempt, vm, to, bytes);
             }
             PeersMessage::Cancel { call, attempt } => {
--- a/crates/poplartrail-node/src/decide/outlets.rs
+++ b/crates/poplartrail-node/src/decide/outlets.rs
@@ -54,9 +54,18 @@
                     result: Err(UpstreamFault::NotConnected),
                 })
             }
-            Output::Send { call, attempt, vm, to, service, context, budget, payload } => {
-                let message =
-                    PeersMessage::Send { call, attempt, vm, to, service, context, budget, payload };
+            Output::Send { call, attempt, vm, to, service, context, budget, passed, payload } => {
+                let message = PeersMessage::Send {
+                    call,
+                    attempt,
+                    vm,
+                    to,
+                    service,
+                    context,
+                    budget,
+                    passed,
+                    payload,
+                };
                 let is_full = note_full(self.peers.offer(message), "peers");
                 is_full.then_some(Input::PeerDone { call, attempt, result: Err(PeerFault::Unsent) })
             }
--- a/crates/poplartrail-node/src/ports/message.rs
+++ b/crates/poplartrail-node/src/ports/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use poplartrail_core::{
-    call::{Context, Outcome, Payload, RetryBudget},
+    call::{Context, Outcome, Payload, RetryBudget, Share},
     config::Snapshot,
     engine::{CallKey, Event, Input, NodeView, Ticket},
     keys::IdempotencyKey,
@@ -72,6 +72,8 @@
         context: Context,
         /// Retries that the other node may cause.
         budget: RetryBudget,
+        /// Smallest share of its rank that the request has passed.
+        passed: Share,
         /// Its content.
         payload: Payload,
     },
--- a/crates/poplartrail-wire/src/convert/call.rs
+++ b/crates/poplartrail-wire/src/convert/call.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use poplartrail_core::{
-    call::{Context, Effect, Field, Payload, RequestId, RetryBudget},
+    call::{Context, Effect, Field, Payload, RequestId, RetryBudget, Share},
     engine::{Arrival, Origin, Ticket},
     keys::IdempotencyKey,
     member::MemberRecord,
@@ -89,7 +89,7 @@
     service: &ServiceName,
     now: Time,
     context: &Context,
-    budget: RetryBudget,
+    (budget, passed): (RetryBudget, Share),
     payload: &Payload,
 ) -> Vec<u8> {
     let key = context.effect.key().map(|key| key.bits().to_be_bytes().to_vec());
@@ -101,6 +101,7 @@
         left_us: context.deadline.since(now).as_micros() as u64,
         budget: u32::from(budget.left()),
         depth: u32::from(context.depth),
+        passed: passed.parts(),
         key: key.unwrap_or_default().into(),
         method: payload.method.to_string(),
         target: payload.target.to_string(),
@@ -115,6 +116,7 @@
     let origin = Origin::Peer {
         budget: RetryBudget::new(byte(call.budget, "budget")?),
         depth: byte(call.depth, "depth")?,
+        passed: passed_from(call.passed),
     };
     Ok(Arrival {
         ticket,
@@ -133,6 +135,11 @@
     })
 }
 
+/// The share that a request has passed; a node that states none has shed nothing.
+fn passed_from(parts: u32) -> Share {
+    if parts == 0 { Share::FULL } else { Share::from_parts(parts) }
+}
+
 fn effect_from(key: &Bytes) -> Result<Effect, WireError> {
     if key.is_empty() {
         return Ok(Effect::Idempotent);
