--- a/crates/poplartrail-core/tests/once_histories.rs
+++ b/crates/poplartrail-core/tests/once_histories.rs
@@ -382,10 +382,12 @@
     /// Compares what is told with what ran.
     fn judge(&mut self, node: usize, key: IdempotencyKey, outcome: &Outcome) {
         match outcome {
-            Outcome::NotRun(not_run) if *not_run.by() == self.hosts[node].node.me().vm => {
-                if self.runs.contains_key(&key) && not_run.reason() != Refusal::KeyReused {
+            Outcome::NotRun(not_run) => {
+                let decides = *not_run.by() == self.hosts[node].node.me().vm;
+                let is_other = not_run.reason() == Refusal::KeyReused;
+                if decides && !is_other && self.runs.contains_key(&key) {
                     let why = not_run.reason();
-                    self.lies.push(format!("{:?} at {:?}: {why:?}", self.now, key));
+                    self.lies.push(format!("not run {key:?} at {:?}: {why:?}", self.now));
                 }
             }
             Outcome::Answered(answer) => {
@@ -395,7 +397,7 @@
                     self.lies.push(format!("two answers for {key:?}"));
                 }
             }
-            _ => {}
+            Outcome::Unknown(_) => {}
         }
     }
 
