Test floods, slow services and a log outage with real processes

Cause: only the demo showed a flood on the real path; a node that starts while the log is down, and a lost zone together with a log outage, had no test.

--- a/crates/poplartrail-stand/src/fleet/plan.rs
+++ b/crates/poplartrail-stand/src/fleet/plan.rs
@@ -12,6 +12,7 @@
     pub(crate) zone: String,
     pub(crate) next: Option<String>,
     pub(crate) behaviour: Behaviour,
+    pub(crate) has_seeds: bool,
 }
 
 impl NodePlan {
@@ -23,6 +24,7 @@
             zone: zone.to_owned(),
             next: None,
             behaviour: Behaviour::default(),
+            has_seeds: false,
         }
     }
 
@@ -33,6 +35,13 @@
         self
     }
 
+    /// Names the nodes that run already as seeds in its settings.
+    #[must_use]
+    pub fn with_seeds(mut self) -> Self {
+        self.has_seeds = true;
+        self
+    }
+
     /// Sets how its upstream behaves.
     #[must_use]
     pub fn behaviour(mut self, behaviour: Behaviour) -> Self {
@@ -79,6 +88,13 @@
         self
     }
 
+    /// Sets the time between two reads of the log by a node.
+    #[must_use]
+    pub fn poll(mut self, poll: Duration) -> Self {
+        self.poll = poll;
+        self
+    }
+
     /// Sets the time for which the log keeps records.
     #[must_use]
     pub fn retention(mut self, retention: Duration) -> Self {
--- a/crates/poplartrail-stand/src/fleet/process.rs
+++ b/crates/poplartrail-stand/src/fleet/process.rs
@@ -1,6 +1,7 @@
 //! One child process of a test.
 
 use std::{
+    collections::BTreeMap,
     fs::File,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -48,6 +49,20 @@
         line.split_whitespace().nth(1)?.parse().ok()
     }
 
+    /// Processor time of each thread since its start, by name.
+    pub fn thread_times(&self) -> BTreeMap<String, Duration> {
+        let mut times = BTreeMap::new();
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        for task in tasks.into_iter().flatten().flatten() {
+            let read = |name: &str| std::fs::read_to_string(task.path().join(name));
+            let (Ok(name), Ok(stat)) = (read("comm"), read("schedstat")) else { continue };
+            let nanos = stat.split_whitespace().next().and_then(|text| text.parse().ok());
+            *times.entry(name.trim().to_owned()).or_default() +=
+                Duration::from_nanos(nanos.unwrap_or(0));
+        }
+        times
+    }
+
     /// Sends the signal `name`, for instance `TERM`, to the process.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
--- a/crates/poplartrail-stand/src/fleet/running.rs
+++ b/crates/poplartrail-stand/src/fleet/running.rs
@@ -81,6 +81,13 @@
 impl Fleet {
     /// Starts the processes, publishes the base file, and waits until every node serves.
     pub async fn start(plan: FleetPlan) -> Self {
+        let fleet = Self::launch(plan).await;
+        fleet.await_routes().await;
+        fleet
+    }
+
+    /// Starts the processes, publishes the base file, and waits until every node is configured.
+    pub async fn launch(plan: FleetPlan) -> Self {
         let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let name = format!("poplartrail-{}-{number}", std::process::id());
         let dir = std::env::temp_dir().join(name);
@@ -101,7 +108,6 @@
             fleet.publish(SITE, &plan.overlay, 0);
         }
         fleet.await_serving().await;
-        fleet.await_routes().await;
         fleet
     }
 
@@ -119,13 +125,19 @@
         write(&file("ca.pem"), &self.authority.pem());
         write(&file("cert.pem"), &pem.cert);
         write(&file("key.pem"), &pem.key);
+        let seeds: String = self
+            .nodes
+            .iter()
+            .filter(|_| plan.has_seeds)
+            .map(|seed| format!("[[seed]]\nvm = {:?}\naddr = \"{}\"\n", seed.vm, seed.peers))
+            .collect();
         let settings = format!(
             "[node]\nvm = {:?}\nservice = {:?}\nzone = {:?}\nregion = \"loopback\"\nsite = {SITE:?}\n\
              [listen]\ncallers = \"{callers}\"\nupstream = \"{outbound}\"\npeers = \"{peers}\"\n\
              report = \"{report}\"\n\
              [upstream]\naddr = \"{upstream}\"\nload_path = \"/stand/load\"\nload_poll_ms = 200\n\
              [platform]\naddr = \"{}\"\npoll_ms = {}\ntimeout_ms = 500\nretention_s = {}\n\
-             [tls]\nca = {:?}\ncert = {:?}\nkey = {:?}\n{}",
+             [tls]\nca = {:?}\ncert = {:?}\nkey = {:?}\n{}{seeds}",
             plan.vm,
             plan.service,
             plan.zone,
@@ -241,6 +253,11 @@
         self.post(self.log, "/control", body).await;
     }
 
+    /// What the log has counted since its start.
+    pub async fn log_counts(&self) -> Value {
+        self.get(self.log, "/counts").await.unwrap_or_default()
+    }
+
     async fn post(&self, to: SocketAddr, path: &str, body: Vec<u8>) -> Reply {
         let sent = Caller::new(to).send(&Call::post(path, body)).await;
         sent.unwrap_or_else(|err| panic!("{to}{path} does not answer: {err}"))
--- a/crates/poplartrail-stand/src/log/server.rs
+++ b/crates/poplartrail-stand/src/log/server.rs
@@ -30,11 +30,21 @@
     streams: Streams,
     faults: Faults,
     reads: u64,
+    appends: u64,
+    bytes_in: u64,
+    bytes_out: u64,
 }
 
 /// Serves a log at `at` that keeps records for `retention`.
 pub fn run(at: SocketAddr, retention: Duration) -> std::io::Result<()> {
-    let state = State { streams: Streams::new(retention), faults: Faults::default(), reads: 0 };
+    let state = State {
+        streams: Streams::new(retention),
+        faults: Faults::default(),
+        reads: 0,
+        appends: 0,
+        bytes_in: 0,
+        bytes_out: 0,
+    };
     serve(at, Log { state: Arc::new(Mutex::new(state)) })
 }
 
@@ -56,6 +66,7 @@
     async fn append(&self, name: &str, body: bytes::Bytes) -> Response<Body> {
         let (appended, is_lost) = {
             let mut state = self.lock();
+            state.appends += 1;
             let appended = state.streams.append(name, body);
             let is_lost = state.faults.lost_answers > 0;
             state.faults.lost_answers = state.faults.lost_answers.saturating_sub(1);
@@ -71,12 +82,20 @@
         let Ok(read) = LogRead::decode(body) else { return response(400, "no read\n") };
         let mut state = self.lock();
         state.reads += 1;
-        response(200, state.streams.read(&read.cursors).encode_to_vec())
+        let pages = state.streams.read(&read.cursors).encode_to_vec();
+        state.bytes_out += pages.len() as u64;
+        response(200, pages)
     }
 
     fn counts(&self) -> Response<Body> {
         let state = self.lock();
-        let counts = json!({"reads": state.reads, "config": state.streams.appended("config")});
+        let counts = json!({
+            "reads": state.reads,
+            "appends": state.appends,
+            "bytes_in": state.bytes_in,
+            "bytes_out": state.bytes_out,
+            "config": state.streams.appended("config"),
+        });
         response(200, counts.to_string())
     }
 }
@@ -87,6 +106,7 @@
         if path == "/control" {
             return self.control(&request.body);
         }
+        self.lock().bytes_in += request_bytes(&request);
         let faults = self.lock().faults.clone();
         sleep(Duration::from_millis(faults.delay_ms)).await;
         if faults.is_down {
@@ -101,3 +121,10 @@
         }
     }
 }
+
+/// Bytes of a request as it came over the connection, nearly.
+fn request_bytes(request: &Whole) -> u64 {
+    let fields = request.parts.headers.iter();
+    let header: usize = fields.map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    (request.parts.uri.path().len() + header + request.body.len()) as u64
+}
