Take the ports of test fleets from outside the ephemeral range

The port was a free one of the system's ephemeral range, and an outgoing socket took it before the daemon did. Change: ports below that range, in an order that starts elsewhere for each test process. Conclusion: the fault was of the scaffolding; the check is as it was.

--- a/crates/poplartrail-stand/src/fleet/running.rs
+++ b/crates/poplartrail-stand/src/fleet/running.rs
@@ -29,6 +29,11 @@
 /// Site of the stand-in fleets.
 const SITE: &str = "stand";
 
+/// Ports of the fleets.
+const PORTS: std::ops::Range<u32> = 10_000..32_000;
+/// Distance between the first ports of two test processes that follow each other.
+const PORTS_OF_PROCESS: u32 = 200;
+
 static FLEETS: AtomicU32 = AtomicU32::new(0);
 
 /// One node with its upstream.
@@ -67,11 +72,17 @@
 }
 
 /// A free TCP and UDP port on loopback.
+///
+/// It lies below the ports that the system gives to outgoing connections, one of which could
+/// take it before the process that it is meant for does.
 fn free_address() -> SocketAddr {
-    for _ in 0..64 {
-        let tcp = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("loopback has free ports");
-        let addr = tcp.local_addr().expect("a bound socket has an address");
-        if UdpSocket::bind(addr).is_ok() {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    for _ in PORTS {
+        let number = std::process::id().wrapping_mul(PORTS_OF_PROCESS)
+            + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = PORTS.start + number % (PORTS.end - PORTS.start);
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port as u16));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
             return addr;
         }
     }
