--- a/crates/poplartrail-bench/src/bin/cost.rs
+++ b/crates/poplartrail-bench/src/bin/cost.rs
@@ -1,23 +1,35 @@
-//! Cost of one decision as the number of known instances grows.
+//! Cost of one decision as the number of ranks and of known instances grows.
 
-use std::{net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use poplartrail_bench::scenarios::ranks;
 use poplartrail_core::{
-    call::{Draw, RequestId},
+    call::{Draw, RequestId, Share},
+    engine::CallKey,
+    gate::{Completion, Ending, Fixed, Gate, GateOptions, GateStep, Gradient, Law, Offer},
     member::Member,
-    names::{ServiceName, VmName, ZoneName},
-    policy::RankIndex,
+    names::{RankName, ServiceName, VmName, ZoneName},
+    policy::{Rank, RankIndex, Ranks},
     route::{Choice, Instance, Router},
     time::Time,
 };
+use slotmap::SlotMap;
 
 /// Decisions of one measurement.
 const DECISIONS: u64 = 200_000;
+/// Virtual time between two calls at a gate, in nanoseconds.
+const CALL_NANOS: u64 = 1_000_000;
+/// Calls in one interval.
+const CALLS_OF_INTERVAL: u64 = 100;
 /// Instances of one service at the size to design for.
 const INSTANCES_OF_SERVICE: usize = 34;
 
 fn main() {
+    compare_gates();
     let ranks = Arc::new(ranks());
     for known in [10, 100, 1_000, 7_900] {
         let before = resident_kib();
@@ -40,6 +52,63 @@
     }
 }
 
+/// Time of one call at a gate: its offer, its completion and its part of the intervals.
+fn gate_nanos(law: Law, has_shares: bool, ranks: &Ranks) -> f64 {
+    let options =
+        GateOptions { law: Some(law), has_shares, has_deadlines: has_shares, queue_len: 256 };
+    let mut gate = Gate::new(options, ranks);
+    let mut keys = SlotMap::<CallKey, ()>::with_key();
+    let mut steps = Vec::new();
+    let call = keys.insert(());
+    let start = Instant::now();
+    for turn in 0..DECISIONS {
+        let now = Time::from_nanos(turn * CALL_NANOS);
+        let offer = Offer {
+            call,
+            rank: RankIndex((turn % ranks.len() as u64) as u8),
+            draw: RequestId(u128::from(turn)).draw(),
+            deadline: now + Duration::from_secs(1),
+            is_begun: false,
+            passed: Share::FULL,
+        };
+        gate.offer(now, offer, &mut steps);
+        for step in steps.drain(..) {
+            let GateStep::Dispatch(_, place) = step else { continue };
+            let hold = Duration::from_millis(5);
+            let done = Completion { hold, own: hold, place, ending: Ending::Answered };
+            gate.complete(now, done, &mut Vec::new());
+        }
+        if turn % CALLS_OF_INTERVAL == 0 {
+            gate.end_interval(now, &mut Vec::new());
+        }
+    }
+    start.elapsed().as_nanos() as f64 / DECISIONS as f64
+}
+
+/// Cost of a call at the gate against that of a constant limit, by the number of ranks.
+fn compare_gates() {
+    for count in [2, 5, 16] {
+        let ranks = some_ranks(count);
+        let fixed = gate_nanos(Law::Fixed(Fixed::new(100)), false, &ranks);
+        let chosen = gate_nanos(Law::Gradient(Gradient::default()), true, &ranks);
+        println!(
+            "{count} ranks: constant limit {fixed:.0} ns for a call at the gate, chosen law with \
+             shares and deadlines {chosen:.0} ns, ratio {:.1}",
+            chosen / fixed
+        );
+    }
+}
+
+fn some_ranks(count: usize) -> Ranks {
+    let rank = |at: usize| Rank {
+        name: RankName::new(format!("rank-{at}")).expect("the name is valid"),
+        target: Duration::from_secs(1),
+        worth: (count - at) as f64,
+        is_urgent: at == 0,
+    };
+    Ranks::new((0..count).map(rank).collect()).expect("the ranks are valid")
+}
+
 fn service(number: usize) -> ServiceName {
     ServiceName::new(format!("service-{number}")).expect("the name is valid")
 }
