--- a/crates/poplartrail-core/src/engine/keeper.rs
+++ b/crates/poplartrail-core/src/engine/keeper.rs
@@ -357,11 +357,17 @@
             .collect();
         let wanted = part.saturating_sub(held.len()).min(free.len());
         if wanted > 0 {
-            let start = self.random.random_range(0..free.len());
-            let slots = free
+            // After a long outage of the log every lease has run out; a node that takes back what
+            // it had does not meet the others at the same slots.
+            let was_own = |slot: &Slot| {
+                roster.leases().get(&home(*slot)).is_some_and(|l| l.holder == self.me.vm)
+            };
+            let (own, others): (Vec<Slot>, Vec<Slot>) = free.into_iter().partition(was_own);
+            let start = self.random.random_range(0..others.len().max(1));
+            let others = others.iter().cycle().skip(start).take(others.len());
+            let slots = own
                 .iter()
-                .cycle()
-                .skip(start)
+                .chain(others)
                 .take(wanted)
                 .map(|&slot| SlotChange { slot, change: LeaseChange::Claim })
                 .collect();
--- a/crates/poplartrail-core/tests/given_up_slot.rs
+++ b/crates/poplartrail-core/tests/given_up_slot.rs
@@ -36,14 +36,14 @@
     }
 }
 
-fn policy() -> Policy {
+fn policy(key_slots: u16) -> Policy {
     let rank = Rank {
         name: RankName::new("only").unwrap(),
         target: Duration::from_secs(5),
         worth: 1.0,
         is_urgent: false,
     };
-    let service = ServiceRule { name: service(), key_slots: 1, calls: Vec::new() };
+    let service = ServiceRule { name: service(), key_slots, calls: Vec::new() };
     let zones = vec![ZoneName::new("zone-a").unwrap()];
     let ranks = Ranks::new(vec![rank]).unwrap();
     Policy::new(ranks, vec![service], zones, Bounds::default()).unwrap()
@@ -107,17 +107,22 @@
         .expect("the call ends at once")
 }
 
-/// A node whose slot was claimed at the start and given up after 5 s.
-fn past_holder() -> Node {
+fn node(key_slots: u16) -> Node {
     let mut node = Node::new(NodeOptions {
         me: me(),
-        first_policy: Arc::new(policy()),
+        first_policy: Arc::new(policy(key_slots)),
         calls: CallsOptions::new(),
         retention: Duration::from_secs(3600),
         seeds: Vec::new(),
         source: Box::new(NoDocuments),
     });
     node.serve();
+    node
+}
+
+/// A node whose slot was claimed at the start and given up after 5 s.
+fn past_holder() -> Node {
+    let mut node = node(1);
     let mut out = Vec::new();
     let now = Time::from_millis(1);
     node.handle(now, START, log(0, Duration::ZERO, LeaseChange::Claim), &mut out);
@@ -162,3 +167,35 @@
     let out = ask(&mut node, origin, later_key());
     assert!(out.iter().any(|o| matches!(o, Output::Send { vm, .. } if *vm == next.member.vm)));
 }
+
+/// When the log is back after every lease has run out, nodes do not meet at the same slots.
+#[test]
+fn takes_back_its_own() {
+    let mut node = node(8);
+    let mut claims = member("swaps-a1", "127.0.0.1:7000");
+    let own = [1, 3, 5, 7].map(Slot);
+    claims.slots = own.map(|slot| SlotChange { slot, change: LeaseChange::Claim }).into();
+    let signs = [("swaps-a1", "127.0.0.1:7000"), ("swaps-a2", "127.0.0.1:7001")];
+    let later = Duration::from_secs(120);
+    let signs = signs.map(|(vm, addr)| (later, member(vm, addr)));
+    let records = [(Duration::ZERO, claims)].into_iter().chain(signs).zip(0..);
+    let records = records
+        .map(|((after, body), offset)| LogRecord { offset, at: START + after, body })
+        .collect();
+    let batch = LogBatch::Members { service: service(), oldest: (0, START), records };
+    let now = Time::from_millis(120_000);
+    let mut out = Vec::new();
+    node.handle(now, START + later, Input::Log { batch, log_now: START + later }, &mut out);
+    node.handle(now, START + later, Input::Wake, &mut out);
+    let claimed: Vec<Slot> = out
+        .iter()
+        .filter_map(|output| match output {
+            Output::AppendMember(record) => Some(&record.slots),
+            _ => None,
+        })
+        .flatten()
+        .filter(|change| change.change == LeaseChange::Claim)
+        .map(|change| change.slot)
+        .collect();
+    assert_eq!(claimed, own);
+}
