Give runs without configuration one policy source, and show the silence watch

Clean-up: the source that changes nothing stood in the lab and two tests; it is FixedPolicy now. The waiting queue kept arrival times that nobody read. New: a run with silent connections kept, beside the one with the watch.

--- a/crates/poplartrail-bench/src/bin/lab.rs
+++ b/crates/poplartrail-bench/src/bin/lab.rs
@@ -199,8 +199,13 @@
 
 fn instances() {
     let graph = vn_south();
-    for (label, is_silence) in [("killed and back", false), ("silent", true)] {
-        let tally = instance_trouble(&graph, is_silence, SECONDS).run();
+    let runs = [
+        ("killed and back", false, Baseline::Full),
+        ("silent", true, Baseline::Full),
+        ("silent, not watched", true, Baseline::NoSilenceWatch),
+    ];
+    for (label, is_silence, baseline) in runs {
+        let tally = baseline.apply(instance_trouble(&graph, is_silence, SECONDS)).run();
         let lost: u64 = tally.ranks.iter().map(|rank| rank.offered - rank.whole).sum();
         print_run(label, &graph, &tally);
         println!("{label}: {lost} of {} requests not whole", tally.offered());
--- a/crates/poplartrail-bench/src/lab/world.rs
+++ b/crates/poplartrail-bench/src/lab/world.rs
@@ -4,10 +4,9 @@
 
 use poplartrail_core::{
     call::{Answer, Effect, Outcome, Payload, RequestId},
-    config::{Document, DocumentCheck, DocumentId},
     engine::{
-        Arrival, CallKey, CallsOptions, EventKind, Input, Keeper, Mechanisms, Node, NodeOptions,
-        Origin, Output, PeerOutcome, PolicySource, Port, Ticket, UpstreamFault,
+        Arrival, CallKey, CallsOptions, EventKind, FixedPolicy, Input, Mechanisms, Node,
+        NodeOptions, Origin, Output, PeerOutcome, Port, Ticket, UpstreamFault,
     },
     gate::{Gradient, Law},
     member::Member,
@@ -225,24 +224,6 @@
     out: Vec<Output>,
 }
 
-struct NoDocuments;
-
-impl DocumentCheck for NoDocuments {
-    fn check(
-        &self,
-        _before: &std::collections::BTreeMap<DocumentId, Document>,
-        _after: &std::collections::BTreeMap<DocumentId, Document>,
-    ) -> Result<(), Arc<str>> {
-        Ok(())
-    }
-}
-
-impl PolicySource for NoDocuments {
-    fn policy(&self, _keeper: &Keeper) -> Option<Policy> {
-        None
-    }
-}
-
 fn service_name(service: usize) -> ServiceName {
     ServiceName::new(format!("service-{service}")).expect("the name is valid")
 }
@@ -333,7 +314,7 @@
             calls,
             retention: Duration::from_secs(3600),
             seeds: Vec::new(),
-            source: Box::new(NoDocuments),
+            source: Box::new(FixedPolicy),
         });
         node.serve();
         let slots = self.graph.services[service].slots as u32;
--- a/crates/poplartrail-bench/src/scenarios/baselines.rs
+++ b/crates/poplartrail-bench/src/scenarios/baselines.rs
@@ -31,6 +31,8 @@
     NoPathShares,
     /// No division among the ranks: the queue's order alone decides.
     NoShares,
+    /// Silent connections are kept.
+    NoSilenceWatch,
     /// Work whose deadline has passed is still begun and finished.
     NoDeadlines,
 }
@@ -69,6 +71,9 @@
             Baseline::NoPathShares => {
                 builder.mechanisms(Mechanisms { has_path_shares: false, ..on })
             }
+            Baseline::NoSilenceWatch => {
+                builder.mechanisms(Mechanisms { has_silence_watch: false, ..on })
+            }
             Baseline::NoShares => builder.has_shares(false),
             Baseline::NoDeadlines => builder.has_deadlines(false),
         }
--- a/crates/poplartrail-bench/tests/instance_loss.rs
+++ b/crates/poplartrail-bench/tests/instance_loss.rs
@@ -1,6 +1,6 @@
 //! An upstream that is killed and comes back, and connections that fall silent.
 
-use poplartrail_bench::scenarios::{instance_trouble, vn_south};
+use poplartrail_bench::scenarios::{Baseline, instance_trouble, vn_south};
 use test_case::test_case;
 
 /// Seconds that a run counts.
@@ -13,3 +13,10 @@
     assert!(tally.retries > 0, "the trouble calls for retries");
     assert_eq!(tally.whole(), tally.offered());
 }
+
+#[test]
+fn loses_some_without_watch() {
+    let builder = instance_trouble(&vn_south(), true, SECONDS);
+    let tally = Baseline::NoSilenceWatch.apply(builder).run();
+    assert!(tally.whole() < tally.offered(), "{} of {}", tally.whole(), tally.offered());
+}
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/fixed_policy.rs
@@ -0,0 +1,29 @@
+//! A policy that no document changes.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use crate::{
+    config::{Document, DocumentCheck, DocumentId},
+    engine::{Keeper, PolicySource},
+    policy::Policy,
+};
+
+/// Keeps a node at its first policy, for runs and tests without configuration.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct FixedPolicy;
+
+impl DocumentCheck for FixedPolicy {
+    fn check(
+        &self,
+        _before: &BTreeMap<DocumentId, Document>,
+        _after: &BTreeMap<DocumentId, Document>,
+    ) -> Result<(), Arc<str>> {
+        Ok(())
+    }
+}
+
+impl PolicySource for FixedPolicy {
+    fn policy(&self, _keeper: &Keeper) -> Option<Policy> {
+        None
+    }
+}
--- a/crates/poplartrail-core/src/engine/mod.rs
+++ b/crates/poplartrail-core/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod ending;
 mod event;
+mod fixed_policy;
 mod input;
 mod keeper;
 mod live;
@@ -22,6 +23,7 @@
 
 pub use calls::{Calls, CallsOptions};
 pub use event::{Event, EventKind};
+pub use fixed_policy::FixedPolicy;
 pub use input::{
     Arrival, Input, LogBatch, LogRecord, Origin, PeerFault, PeerOutcome, Port, StreamId, Ticket,
     UpstreamFault,
--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -211,7 +211,7 @@
             steps.push(GateStep::Refuse(offer.call, Refusal::TooLate));
             return;
         }
-        if let Some(evicted) = self.queue.push(now, offer) {
+        if let Some(evicted) = self.queue.push(offer) {
             if self.is_urgent(evicted.rank) {
                 self.protect_urgent(now, steps);
             }
@@ -308,7 +308,7 @@
 
     fn fill_places(&mut self, now: Time, steps: &mut Vec<GateStep>) {
         while self.in_flight < self.limit() {
-            let Some((offer, _)) = self.queue.pop() else { return };
+            let Some(offer) = self.queue.pop() else { return };
             if self.is_too_late(now, &offer) {
                 steps.push(GateStep::Refuse(offer.call, Refusal::TooLate));
                 continue;
--- a/crates/poplartrail-core/src/gate/queue.rs
+++ b/crates/poplartrail-core/src/gate/queue.rs
@@ -2,12 +2,12 @@
 
 use std::collections::VecDeque;
 
-use crate::{gate::Offer, policy::RankIndex, time::Time};
+use crate::{gate::Offer, policy::RankIndex};
 
 /// Waiting calls, first come first served within a rank.
 #[derive(Debug)]
 pub(crate) struct RankQueue {
-    ranks: Vec<VecDeque<(Offer, Time)>>,
+    ranks: Vec<VecDeque<Offer>>,
     len: usize,
     max_len: usize,
 }
@@ -22,9 +22,9 @@
         let last = ranks - 1;
         let surplus: Vec<_> = self.ranks.drain(ranks.min(self.ranks.len())..).flatten().collect();
         self.ranks.resize_with(ranks, VecDeque::new);
-        for (mut offer, at) in surplus {
+        for mut offer in surplus {
             offer.rank = RankIndex(last as u8);
-            self.ranks[last].push_back((offer, at));
+            self.ranks[last].push_back(offer);
         }
     }
 
@@ -38,25 +38,25 @@
 
     /// Adds `offer`; a full queue gives up the newest call of its least urgent rank,
     /// which is `offer` itself if nothing less urgent waits.
-    pub(crate) fn push(&mut self, now: Time, offer: Offer) -> Option<Offer> {
+    pub(crate) fn push(&mut self, offer: Offer) -> Option<Offer> {
         let mut evicted = None;
         if self.len >= self.max_len {
             let last = self.ranks.iter().rposition(|q| !q.is_empty());
             match last {
                 Some(rank) if rank > offer.rank.index() => {
-                    evicted = self.ranks[rank].pop_back().map(|(offer, _)| offer);
+                    evicted = self.ranks[rank].pop_back();
                     self.len -= 1;
                 }
                 _ => return Some(offer),
             }
         }
-        self.ranks[offer.rank.index()].push_back((offer, now));
+        self.ranks[offer.rank.index()].push_back(offer);
         self.len += 1;
         evicted
     }
 
-    /// Takes the first call of the most urgent rank, with the time at which it was added.
-    pub(crate) fn pop(&mut self) -> Option<(Offer, Time)> {
+    /// Takes the first call of the most urgent rank.
+    pub(crate) fn pop(&mut self) -> Option<Offer> {
         let front = self.ranks.iter_mut().find_map(VecDeque::pop_front)?;
         self.len -= 1;
         Some(front)
@@ -66,7 +66,7 @@
     pub(crate) fn drain_if(&mut self, mut is_over: impl FnMut(&Offer) -> bool) -> Vec<Offer> {
         let mut over = Vec::new();
         for queue in &mut self.ranks {
-            queue.retain(|(offer, _)| {
+            queue.retain(|offer| {
                 let is_kept = !is_over(offer);
                 if !is_kept {
                     over.push(*offer);
--- a/crates/poplartrail-core/tests/given_up_slot.rs
+++ b/crates/poplartrail-core/tests/given_up_slot.rs
@@ -4,10 +4,9 @@
 
 use poplartrail_core::{
     call::{Doubt, Effect, Outcome, Payload, RequestId, Share},
-    config::{Document, DocumentCheck, DocumentId},
     engine::{
-        Arrival, CallsOptions, Input, Keeper, LogBatch, LogRecord, Node, NodeOptions, Origin,
-        Output, PolicySource, Port, Ticket,
+        Arrival, CallsOptions, FixedPolicy, Input, LogBatch, LogRecord, Node, NodeOptions, Origin,
+        Output, Port, Ticket,
     },
     keys::{IdempotencyKey, LeaseChange, LeaseTerms, Slot},
     member::{Member, MemberRecord, MemberState, SlotChange},
@@ -18,24 +17,6 @@
 
 const START: WallTime = WallTime::from_millis(1_800_000_000_000);
 
-struct NoDocuments;
-
-impl DocumentCheck for NoDocuments {
-    fn check(
-        &self,
-        _before: &std::collections::BTreeMap<DocumentId, Document>,
-        _after: &std::collections::BTreeMap<DocumentId, Document>,
-    ) -> Result<(), Arc<str>> {
-        Ok(())
-    }
-}
-
-impl PolicySource for NoDocuments {
-    fn policy(&self, _keeper: &Keeper) -> Option<Policy> {
-        None
-    }
-}
-
 fn policy(key_slots: u16) -> Policy {
     let rank = Rank {
         name: RankName::new("only").unwrap(),
@@ -114,7 +95,7 @@
         calls: CallsOptions::new(),
         retention: Duration::from_secs(3600),
         seeds: Vec::new(),
-        source: Box::new(NoDocuments),
+        source: Box::new(FixedPolicy),
     });
     node.serve();
     node
--- a/crates/poplartrail-core/tests/once_histories.rs
+++ b/crates/poplartrail-core/tests/once_histories.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
+    collections::{BinaryHeap, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -14,11 +14,9 @@
 use bytes::Bytes;
 use poplartrail_core::{
     call::{Answer, Effect, Outcome, Payload, Refusal, RequestId},
-    config::{Document, DocumentCheck, DocumentId},
     engine::{
-        Arrival, CallKey, CallsOptions, Input, Keeper, LogBatch, LogRecord, Mechanisms, Node,
-        NodeOptions, Origin, Output, PeerFault, PeerOutcome, PolicySource, Port, Ticket,
-        UpstreamFault,
+        Arrival, CallKey, CallsOptions, FixedPolicy, Input, LogBatch, LogRecord, Mechanisms, Node,
+        NodeOptions, Origin, Output, PeerFault, PeerOutcome, Port, Ticket, UpstreamFault,
     },
     keys::IdempotencyKey,
     member::{Member, MemberRecord},
@@ -41,24 +39,6 @@
 /// Greatest difference of a node's clock, within the bound of the policy.
 const SKEW_MS: u64 = 200;
 
-struct NoDocuments;
-
-impl DocumentCheck for NoDocuments {
-    fn check(
-        &self,
-        _before: &BTreeMap<DocumentId, Document>,
-        _after: &BTreeMap<DocumentId, Document>,
-    ) -> Result<(), Arc<str>> {
-        Ok(())
-    }
-}
-
-impl PolicySource for NoDocuments {
-    fn policy(&self, _keeper: &Keeper) -> Option<Policy> {
-        None
-    }
-}
-
 fn service() -> ServiceName {
     ServiceName::new("swaps").unwrap()
 }
@@ -179,7 +159,7 @@
             calls,
             retention: Duration::from_secs(3600),
             seeds: Vec::new(),
-            source: Box::new(NoDocuments),
+            source: Box::new(FixedPolicy),
         });
         started.serve();
         let skew = Duration::from_millis(self.random.random_range(0..SKEW_MS));
