--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -23,7 +23,7 @@
 /// Weight of waiting calls in the error of the estimated capacity.
 const BACKLOG_ERROR: f64 = 0.3;
 /// Part of a rank's waiting calls that its share leaves to be drained in one interval.
-const BACKLOG_WEIGHT: f64 = 0.2;
+const BACKLOG_WEIGHT: f64 = 0.5;
 /// Largest growth of a rank's share from one interval to the next.
 const MAX_GROWTH: f64 = 2.0;
 /// Smallest fraction from which a share grows.
@@ -31,7 +31,7 @@
 /// Range of the correction of the estimated capacity.
 const GAIN: (f64, f64) = (0.5, 3.0);
 /// Change of the correction for each unit of error in use.
-const GAIN_STEP: f64 = 0.02;
+const GAIN_STEP: f64 = 0.25;
 
 /// A call that asks for a place.
 #[derive(Debug, Clone, Copy, PartialEq)]
