Split what a node appends from what it has read, and a run from its parameters

Clean-up with no change of behaviour: engine/appends.rs, with the moves of slots in steps; lab/builder.rs and lab/fault.rs.

--- /dev/null
+++ b/crates/poplartrail-bench/src/lab/builder.rs
@@ -0,0 +1,114 @@
+//! Parameters of a run.
+
+use poplartrail_core::{
+    engine::Mechanisms,
+    gate::{Gradient, Law},
+    policy::{Bounds, Ranks},
+    time::Time,
+};
+
+use crate::lab::{Fault, FaultKind, Graph, Lab, Load, Tally};
+
+/// Parameters of a run.
+pub struct LabBuilder {
+    pub(crate) graph: Graph,
+    pub(crate) ranks: Ranks,
+    pub(crate) loads: Vec<Load>,
+    pub(crate) faults: Vec<Fault>,
+    pub(crate) law: Option<Law>,
+    pub(crate) has_shares: bool,
+    pub(crate) has_deadlines: bool,
+    pub(crate) mechanisms: Mechanisms,
+    pub(crate) measured_from: Time,
+    pub(crate) until: Time,
+    pub(crate) seed: u64,
+    pub(crate) bounds: Bounds,
+}
+
+impl LabBuilder {
+    pub(crate) fn new(graph: Graph, ranks: Ranks) -> Self {
+        Self {
+            graph,
+            ranks,
+            loads: Vec::new(),
+            faults: Vec::new(),
+            law: Some(Law::Gradient(Gradient::default())),
+            has_shares: true,
+            has_deadlines: true,
+            mechanisms: Mechanisms::default(),
+            measured_from: Time::ZERO,
+            until: Time::from_millis(10_000),
+            seed: 1,
+            bounds: Bounds::default(),
+        }
+    }
+
+    /// Sets the law of the limits; `None` admits everything.
+    #[must_use]
+    pub fn law(mut self, law: impl Into<Option<Law>>) -> Self {
+        self.law = law.into();
+        self
+    }
+
+    /// Sets whether gates divide their capacity among the ranks.
+    #[must_use]
+    pub fn has_shares(mut self, has_shares: bool) -> Self {
+        self.has_shares = has_shares;
+        self
+    }
+
+    /// Sets whether calls that cannot finish in time are refused, and late ones ended.
+    #[must_use]
+    pub fn has_deadlines(mut self, has_deadlines: bool) -> Self {
+        self.has_deadlines = has_deadlines;
+        self
+    }
+
+    /// Sets the mechanisms that act across nodes.
+    #[must_use]
+    pub fn mechanisms(mut self, mechanisms: Mechanisms) -> Self {
+        self.mechanisms = mechanisms;
+        self
+    }
+
+    /// Adds a stream of requests.
+    #[must_use]
+    pub fn load(mut self, load: Load) -> Self {
+        self.loads.push(load);
+        self
+    }
+
+    /// Adds a fault.
+    #[must_use]
+    pub fn fault(mut self, at: Time, kind: FaultKind) -> Self {
+        self.faults.push(Fault { at, kind });
+        self
+    }
+
+    /// Sets the time from which requests are counted, and the end.
+    #[must_use]
+    pub fn measured(mut self, from: Time, until: Time) -> Self {
+        self.measured_from = from;
+        self.until = until;
+        self
+    }
+
+    /// Sets the seed of all random numbers.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Sets the bounds of the policy.
+    #[must_use]
+    pub fn bounds(mut self, bounds: Bounds) -> Self {
+        self.bounds = bounds;
+        self
+    }
+
+    /// Runs to the end and returns the counts.
+    pub fn run(self) -> Tally {
+        Lab::new(&self).run()
+    }
+}
--- a/crates/poplartrail-bench/src/lab/world.rs
+++ b/crates/poplartrail-bench/src/lab/world.rs
@@ -5,10 +5,9 @@
 use poplartrail_core::{
     call::{Answer, Effect, Outcome, Payload, RequestId},
     engine::{
-        Arrival, CallKey, CallsOptions, EventKind, FixedPolicy, Input, Mechanisms, Node,
-        NodeOptions, Origin, Output, PeerOutcome, Port, Ticket, UpstreamFault,
+        Arrival, CallKey, CallsOptions, EventKind, FixedPolicy, Input, Node, NodeOptions, Origin,
+        Output, PeerOutcome, Port, Ticket, UpstreamFault,
     },
-    gate::{Gradient, Law},
     member::Member,
     names::{ServiceName, VmName, ZoneName},
     policy::{Policy, Ranks, ServiceRule},
@@ -18,7 +17,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::lab::{
-    Graph, Load, Repeats, Tally,
+    Fault, FaultKind, Graph, LabBuilder, Load, Repeats, Tally,
     fake_upstream::{FakeUpstream, Job},
     schedule::Schedule,
 };
@@ -32,62 +31,6 @@
 /// Time after which a node notices that a killed one is gone.
 const KILL_NOTICE: Duration = Duration::from_millis(5);
 
-/// Something that goes wrong.
-#[derive(Debug, Clone)]
-pub struct Fault {
-    /// When.
-    pub at: Time,
-    /// What.
-    pub kind: FaultKind,
-}
-
-/// Kinds of faults.
-#[derive(Debug, Clone)]
-pub enum FaultKind {
-    /// The upstreams of a service work at this multiple of their time.
-    Slow {
-        /// Position of the service.
-        service: usize,
-        /// Factor on the service time.
-        factor: f64,
-    },
-    /// Answers of a service's upstreams are lost with this probability.
-    Lose {
-        /// Position of the service.
-        service: usize,
-        /// Probability.
-        loss: f64,
-    },
-    /// An upstream is killed with everything in it, and refuses connections.
-    Kill {
-        /// Position of the service.
-        service: usize,
-        /// Which of its instances.
-        instance: usize,
-    },
-    /// A killed upstream is back, empty.
-    Return {
-        /// Position of the service.
-        service: usize,
-        /// Which of its instances.
-        instance: usize,
-    },
-    /// All messages to one instance vanish on open connections until each is replaced.
-    Silence {
-        /// Position of the service.
-        service: usize,
-        /// Which of its instances.
-        instance: usize,
-    },
-    /// The load endpoints of a service state this many slots from now on.
-    State {
-        /// Position of the service.
-        service: usize,
-        /// Slots.
-        slots: u32,
-    },
-}
-
 enum Event {
     Send { load: usize, request: u128, tries: u32 },
     Next { load: usize },
@@ -112,93 +55,6 @@
     silent_from: Vec<bool>,
 }
 
-/// Parameters of a run.
-pub struct LabBuilder {
-    graph: Graph,
-    ranks: Ranks,
-    loads: Vec<Load>,
-    faults: Vec<Fault>,
-    law: Option<Law>,
-    has_shares: bool,
-    has_deadlines: bool,
-    mechanisms: Mechanisms,
-    measured_from: Time,
-    until: Time,
-    seed: u64,
-    bounds: poplartrail_core::policy::Bounds,
-}
-
-impl LabBuilder {
-    /// Sets the law of the limits; `None` admits everything.
-    #[must_use]
-    pub fn law(mut self, law: impl Into<Option<Law>>) -> Self {
-        self.law = law.into();
-        self
-    }
-
-    /// Sets whether gates divide their capacity among the ranks.
-    #[must_use]
-    pub fn has_shares(mut self, has_shares: bool) -> Self {
-        self.has_shares = has_shares;
-        self
-    }
-
-    /// Sets whether calls that cannot finish in time are refused, and late ones ended.
-    #[must_use]
-    pub fn has_deadlines(mut self, has_deadlines: bool) -> Self {
-        self.has_deadlines = has_deadlines;
-        self
-    }
-
-    /// Sets the mechanisms that act across nodes.
-    #[must_use]
-    pub fn mechanisms(mut self, mechanisms: Mechanisms) -> Self {
-        self.mechanisms = mechanisms;
-        self
-    }
-
-    /// Adds a stream of requests.
-    #[must_use]
-    pub fn load(mut self, load: Load) -> Self {
-        self.loads.push(load);
-        self
-    }
-
-    /// Adds a fault.
-    #[must_use]
-    pub fn fault(mut self, at: Time, kind: FaultKind) -> Self {
-        self.faults.push(Fault { at, kind });
-        self
-    }
-
-    /// Sets the time from which requests are counted, and the end.
-    #[must_use]
-    pub fn measured(mut self, from: Time, until: Time) -> Self {
-        self.measured_from = from;
-        self.until = until;
-        self
-    }
-
-    /// Sets the seed of all random numbers.
-    #[must_use]
-    pub fn seed(mut self, seed: u64) -> Self {
-        self.seed = seed;
-        self
-    }
-
-    /// Sets the bounds of the policy.
-    #[must_use]
-    pub fn bounds(mut self, bounds: poplartrail_core::policy::Bounds) -> Self {
-        self.bounds = bounds;
-        self
-    }
-
-    /// Runs to the end and returns the counts.
-    pub fn run(self) -> Tally {
-        Lab::new(&self).run()
-    }
-}
-
 /// A run in progress.
 pub struct Lab {
     graph: Graph,
@@ -231,23 +87,10 @@
 impl Lab {
     /// A run of `graph` under `ranks`, with every mechanism on.
     pub fn builder(graph: Graph, ranks: Ranks) -> LabBuilder {
-        LabBuilder {
-            graph,
-            ranks,
-            loads: Vec::new(),
-            faults: Vec::new(),
-            law: Some(Law::Gradient(Gradient::default())),
-            has_shares: true,
-            has_deadlines: true,
-            mechanisms: Mechanisms::default(),
-            measured_from: Time::ZERO,
-            until: Time::from_millis(10_000),
-            seed: 1,
-            bounds: poplartrail_core::policy::Bounds::default(),
-        }
+        LabBuilder::new(graph, ranks)
     }
 
-    fn new(options: &LabBuilder) -> Self {
+    pub(crate) fn new(options: &LabBuilder) -> Self {
         let policy = Arc::new(policy_of(options));
         let mut lab = Self {
             places: Vec::new(),
@@ -339,7 +182,7 @@
         }
     }
 
-    fn run(mut self) -> Tally {
+    pub(crate) fn run(mut self) -> Tally {
         while let Some((at, event)) = self.schedule.next() {
             if at > self.until {
                 break;
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/appends.rs
@@ -0,0 +1,175 @@
+//! What a node appends to the platform log: signs of life, leases, the configuration.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::Rng;
+
+use crate::{
+    engine::{Keeper, Output},
+    keys::{Home, LeaseChange, LeaseTerms, Slot},
+    member::{MemberRecord, MemberState, Roster, RosterEntry, SlotChange},
+    policy::Policy,
+    time::{Time, WallTime},
+};
+
+/// Appends of a node in each lease term.
+const APPENDS_PER_TERM: u32 = 3;
+/// Least time between two lease claims.
+const CLAIM_PAUSE: Duration = Duration::from_secs(2);
+/// Time over which nodes spread their repeats of the configuration.
+const CARRY_SPREAD: Duration = Duration::from_secs(60);
+
+impl Keeper {
+    /// The earliest time at which [`Keeper::wake`] has something to do.
+    pub(crate) fn next_wake(&self) -> Time {
+        let append = self.append_at.unwrap_or(Time::ZERO);
+        append.min(self.claim_at.max(Time::from_nanos(1)))
+    }
+
+    /// Appends what is due: the sign of life with the renewals, a claim, the configuration.
+    ///
+    /// No key minted after `accepted` has been accepted.
+    pub(crate) fn wake(
+        &mut self,
+        now: Time,
+        policy: &Arc<Policy>,
+        accepted: WallTime,
+        out: &mut Vec<Output>,
+    ) {
+        if self.is_leaving {
+            return;
+        }
+        if self.append_at.is_none_or(|at| now >= at) {
+            self.append_sign(now, policy, out);
+        }
+        if now >= self.claim_at {
+            self.claim_at = now + CLAIM_PAUSE.mul_f64(self.random.random_range(0.75..1.25));
+            self.move_slots(now, policy, accepted, out);
+            self.carry_config(now, out);
+        }
+    }
+
+    fn append_sign(&mut self, now: Time, policy: &Policy, out: &mut Vec<Output>) {
+        let pause = policy.bounds.lease / APPENDS_PER_TERM;
+        self.append_at = Some(now + pause.mul_f64(self.random.random_range(0.8..1.0)));
+        let slots: Vec<SlotChange> = self
+            .held()
+            .filter(|slot| !self.releasing.contains(slot))
+            .map(|slot| SlotChange { slot, change: LeaseChange::Renew })
+            .collect();
+        out.push(Output::AppendMember(self.record(now, policy, MemberState::Serving, slots)));
+    }
+
+    fn record(
+        &self,
+        now: Time,
+        policy: &Policy,
+        state: MemberState,
+        slots: Vec<SlotChange>,
+    ) -> MemberRecord {
+        let terms = LeaseTerms { term: policy.bounds.lease, skew: policy.bounds.clock_skew };
+        MemberRecord { member: self.me.clone(), state, terms, sent: now, slots }
+    }
+
+    /// Claims free slots up to this node's part, or gives one up beyond it.
+    fn move_slots(
+        &mut self,
+        now: Time,
+        policy: &Policy,
+        accepted: WallTime,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(rule) = policy.service(&self.me.service) else { return };
+        let Some(roster) = self.rosters.get(&self.me.service) else { return };
+        if !policy.zones.contains(&self.me.zone) || roster.log_now() == WallTime::default() {
+            return;
+        }
+        let part = usize::from(rule.key_slots).div_ceil(self.members_in_zone(roster));
+        let held: Vec<Slot> = self.held().collect();
+        let slots = if held.len() < part {
+            let free = self.free_slots(roster, rule.key_slots);
+            self.claims(free, part - held.len())
+        } else if held.len() > part && self.releasing.is_empty() {
+            let slot = held[self.random.random_range(0..held.len())];
+            self.releasing.insert(slot);
+            vec![SlotChange { slot, change: LeaseChange::Release { accepted } }]
+        } else {
+            Vec::new()
+        };
+        if !slots.is_empty() {
+            out.push(Output::AppendMember(self.record(now, policy, MemberState::Serving, slots)));
+        }
+    }
+
+    /// Serving nodes of the own service in the own availability zone, this one included.
+    fn members_in_zone(&self, roster: &Roster) -> usize {
+        let is_beside =
+            |e: &&RosterEntry| e.member.zone == self.me.zone && e.state == MemberState::Serving;
+        roster.iter().filter(is_beside).count().max(1)
+    }
+
+    /// Slots that nobody holds: those that this node held last, then the others.
+    fn free_slots(&self, roster: &Roster, slots: u16) -> (Vec<Slot>, Vec<Slot>) {
+        let home = |slot| Home { zone: self.me.zone.clone(), slot };
+        let leases = roster.leases();
+        let is_free = |slot: &Slot| leases.is_free(&home(*slot), roster.log_now());
+        let was_own =
+            |slot: &Slot| leases.get(&home(*slot)).is_some_and(|l| l.holder == self.me.vm);
+        (0..slots).map(Slot).filter(is_free).partition(was_own)
+    }
+
+    /// Claims of at most `wanted` free slots.
+    ///
+    /// After a long outage of the log every lease has run out; a node that takes back what it
+    /// had does not meet the others at the same slots.
+    fn claims(&mut self, free: (Vec<Slot>, Vec<Slot>), wanted: usize) -> Vec<SlotChange> {
+        let (own, others) = free;
+        let start = self.random.random_range(0..others.len().max(1));
+        let others = others.iter().cycle().skip(start).take(others.len());
+        own.iter()
+            .chain(others)
+            .take(wanted)
+            .map(|&slot| SlotChange { slot, change: LeaseChange::Claim })
+            .collect()
+    }
+
+    /// Repeats the configuration in the log before its records expire.
+    fn carry_config(&mut self, now: Time, out: &mut Vec<Output>) {
+        let log_now =
+            self.rosters.get(&self.me.service).map_or(WallTime::default(), Roster::log_now);
+        if log_now == WallTime::default() || !self.history.needs_carrying(log_now, self.retention) {
+            self.carry_at = None;
+            return;
+        }
+        let spread = CARRY_SPREAD.min(self.retention / 8);
+        match self.carry_at {
+            None => {
+                self.carry_at = Some(now + spread.mul_f64(self.random.random()));
+            }
+            Some(at) if now >= at => {
+                self.carry_at = Some(now + spread);
+                out.extend(self.history.snapshot().map(Output::AppendSnapshot));
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Says that the node takes no new work; its slots stay with it until [`Keeper::leave`].
+    pub(crate) fn announce_draining(&mut self, now: Time, policy: &Policy, out: &mut Vec<Output>) {
+        self.is_leaving = true;
+        let record = self.record(now, policy, MemberState::Draining, Vec::new());
+        out.push(Output::AppendMember(record));
+    }
+
+    /// Gives up every slot; no key minted after `accepted` was accepted.
+    pub(crate) fn leave(&mut self, policy: &Policy, accepted: WallTime, out: &mut Vec<Output>) {
+        let slots: Vec<SlotChange> = self
+            .held()
+            .map(|slot| SlotChange { slot, change: LeaseChange::Release { accepted } })
+            .collect();
+        if !slots.is_empty() {
+            let now = Time::ZERO;
+            out.push(Output::AppendMember(self.record(now, policy, MemberState::Draining, slots)));
+        }
+    }
+}
--- a/crates/poplartrail-core/src/engine/keeper.rs
+++ b/crates/poplartrail-core/src/engine/keeper.rs
@@ -2,15 +2,14 @@
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
-    sync::Arc,
     time::Duration,
 };
 
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
     config::{ChangeId, DocumentCheck, History, Verdict},
-    engine::{LogRecord, Output},
+    engine::LogRecord,
     keys::{Epoch, Home, IdempotencyKey, LeaseChange, LeaseTerms, Slot},
     member::{Member, MemberRecord, MemberState, Roster, SlotChange},
     names::{ServiceName, VmName},
@@ -19,14 +18,8 @@
     time::{Time, WallTime},
 };
 
-/// Appends of a node in each lease term.
-const APPENDS_PER_TERM: u32 = 3;
-/// Least time between two lease claims.
-const CLAIM_PAUSE: Duration = Duration::from_secs(2);
 /// Least time between two questions for a newer configuration.
 const ASK_PAUSE: Duration = Duration::from_millis(500);
-/// Time over which nodes spread their repeats of the configuration.
-const CARRY_SPREAD: Duration = Duration::from_secs(60);
 
 /// A slot that this node holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,18 +33,18 @@
 /// What the platform log and other nodes have told this node.
 #[derive(Debug)]
 pub struct Keeper {
-    me: Member,
-    history: History,
-    rosters: BTreeMap<ServiceName, Roster>,
-    releasing: HashSet<Slot>,
+    pub(super) me: Member,
+    pub(super) history: History,
+    pub(super) rosters: BTreeMap<ServiceName, Roster>,
+    pub(super) releasing: HashSet<Slot>,
     lease_live_until: Time,
-    append_at: Option<Time>,
-    claim_at: Time,
+    pub(super) append_at: Option<Time>,
+    pub(super) claim_at: Time,
     asked_at: Option<Time>,
-    carry_at: Option<Time>,
-    retention: Duration,
-    random: SmallRng,
-    is_leaving: bool,
+    pub(super) carry_at: Option<Time>,
+    pub(super) retention: Duration,
+    pub(super) random: SmallRng,
+    pub(super) is_leaving: bool,
     peer_members: HashMap<VmName, MemberRecord>,
 }
 
@@ -187,7 +180,8 @@
         self.held().count()
     }
 
-    fn held(&self) -> impl Iterator<Item = Slot> {
+    /// Slots that this start of the node holds, as far as the log was read.
+    pub(super) fn held(&self) -> impl Iterator<Item = Slot> {
         self.rosters.get(&self.me.service).into_iter().flat_map(|roster| {
             roster
                 .leases()
@@ -279,148 +273,6 @@
         found.into_values().collect()
     }
 
-    /// The earliest time at which [`Keeper::wake`] has something to do.
-    pub(crate) fn next_wake(&self) -> Time {
-        let append = self.append_at.unwrap_or(Time::ZERO);
-        append.min(self.claim_at.max(Time::from_nanos(1)))
-    }
-
-    /// Appends what is due: the sign of life with the renewals, a claim, the configuration.
-    ///
-    /// No key minted after `accepted` has been accepted.
-    pub(crate) fn wake(
-        &mut self,
-        now: Time,
-        policy: &Arc<Policy>,
-        accepted: WallTime,
-        out: &mut Vec<Output>,
-    ) {
-        if self.is_leaving {
-            return;
-        }
-        if self.append_at.is_none_or(|at| now >= at) {
-            self.append_sign(now, policy, out);
-        }
-        if now >= self.claim_at {
-            self.claim_at = now + CLAIM_PAUSE.mul_f64(self.random.random_range(0.75..1.25));
-            self.move_slots(now, policy, accepted, out);
-            self.carry_config(now, out);
-        }
-    }
-
-    fn append_sign(&mut self, now: Time, policy: &Policy, out: &mut Vec<Output>) {
-        let pause = policy.bounds.lease / APPENDS_PER_TERM;
-        self.append_at = Some(now + pause.mul_f64(self.random.random_range(0.8..1.0)));
-        let slots: Vec<SlotChange> = self
-            .held()
-            .filter(|slot| !self.releasing.contains(slot))
-            .map(|slot| SlotChange { slot, change: LeaseChange::Renew })
-            .collect();
-        out.push(Output::AppendMember(self.record(now, policy, MemberState::Serving, slots)));
-    }
-
-    fn record(
-        &self,
-        now: Time,
-        policy: &Policy,
-        state: MemberState,
-        slots: Vec<SlotChange>,
-    ) -> MemberRecord {
-        let terms = LeaseTerms { term: policy.bounds.lease, skew: policy.bounds.clock_skew };
-        MemberRecord { member: self.me.clone(), state, terms, sent: now, slots }
-    }
-
-    /// Claims free slots up to this node's part, or gives one up beyond it.
-    fn move_slots(
-        &mut self,
-        now: Time,
-        policy: &Policy,
-        accepted: WallTime,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(rule) = policy.service(&self.me.service) else { return };
-        let Some(roster) = self.rosters.get(&self.me.service) else { return };
-        if !policy.zones.contains(&self.me.zone) || roster.log_now() == WallTime::default() {
-            return;
-        }
-        let in_zone = roster
-            .iter()
-            .filter(|e| e.member.zone == self.me.zone && e.state == MemberState::Serving)
-            .count()
-            .max(1);
-        let part = usize::from(rule.key_slots).div_ceil(in_zone);
-        let held: Vec<Slot> = self.held().collect();
-        let home = |slot| Home { zone: self.me.zone.clone(), slot };
-        let free: Vec<Slot> = (0..rule.key_slots)
-            .map(Slot)
-            .filter(|&slot| roster.leases().is_free(&home(slot), roster.log_now()))
-            .collect();
-        let wanted = part.saturating_sub(held.len()).min(free.len());
-        if wanted > 0 {
-            // After a long outage of the log every lease has run out; a node that takes back what
-            // it had does not meet the others at the same slots.
-            let was_own = |slot: &Slot| {
-                roster.leases().get(&home(*slot)).is_some_and(|l| l.holder == self.me.vm)
-            };
-            let (own, others): (Vec<Slot>, Vec<Slot>) = free.into_iter().partition(was_own);
-            let start = self.random.random_range(0..others.len().max(1));
-            let others = others.iter().cycle().skip(start).take(others.len());
-            let slots = own
-                .iter()
-                .chain(others)
-                .take(wanted)
-                .map(|&slot| SlotChange { slot, change: LeaseChange::Claim })
-                .collect();
-            out.push(Output::AppendMember(self.record(now, policy, MemberState::Serving, slots)));
-        } else if held.len() > part && self.releasing.is_empty() {
-            let slot = held[self.random.random_range(0..held.len())];
-            let change = LeaseChange::Release { accepted };
-            self.releasing.insert(slot);
-            let slots = vec![SlotChange { slot, change }];
-            out.push(Output::AppendMember(self.record(now, policy, MemberState::Serving, slots)));
-        }
-    }
-
-    /// Repeats the configuration in the log before its records expire.
-    fn carry_config(&mut self, now: Time, out: &mut Vec<Output>) {
-        let log_now =
-            self.rosters.get(&self.me.service).map_or(WallTime::default(), Roster::log_now);
-        if log_now == WallTime::default() || !self.history.needs_carrying(log_now, self.retention) {
-            self.carry_at = None;
-            return;
-        }
-        let spread = CARRY_SPREAD.min(self.retention / 8);
-        match self.carry_at {
-            None => {
-                self.carry_at = Some(now + spread.mul_f64(self.random.random()));
-            }
-            Some(at) if now >= at => {
-                self.carry_at = Some(now + spread);
-                out.extend(self.history.snapshot().map(Output::AppendSnapshot));
-            }
-            Some(_) => {}
-        }
-    }
-
-    /// Says that the node takes no new work; its slots stay with it until [`Keeper::leave`].
-    pub(crate) fn announce_draining(&mut self, now: Time, policy: &Policy, out: &mut Vec<Output>) {
-        self.is_leaving = true;
-        let record = self.record(now, policy, MemberState::Draining, Vec::new());
-        out.push(Output::AppendMember(record));
-    }
-
-    /// Gives up every slot; no key minted after `accepted` was accepted.
-    pub(crate) fn leave(&mut self, policy: &Policy, accepted: WallTime, out: &mut Vec<Output>) {
-        let slots: Vec<SlotChange> = self
-            .held()
-            .map(|slot| SlotChange { slot, change: LeaseChange::Release { accepted } })
-            .collect();
-        if !slots.is_empty() {
-            let now = Time::ZERO;
-            out.push(Output::AppendMember(self.record(now, policy, MemberState::Draining, slots)));
-        }
-    }
-
     /// Instances of `service` that the log announces, with their standing.
     pub(crate) fn announced(
         &self,
--- a/crates/poplartrail-core/src/engine/mod.rs
+++ b/crates/poplartrail-core/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! It holds the calls in progress ([`Calls`]) and the state folded from the platform log
 //! ([`Keeper`]). An adapter carries each output out and feeds the result back as an input.
 
+mod appends;
 mod arrivals;
 mod calls;
 mod ending;
