--- a/crates/poplartrail-node/src/daemon/mod.rs
+++ b/crates/poplartrail-node/src/daemon/mod.rs
@@ -2,7 +2,9 @@
 
 mod error;
 mod logging;
+mod options;
 mod start;
+mod stop;
 
 pub use error::DaemonError;
 pub use logging::init_logging;
--- /dev/null
+++ b/crates/poplartrail-node/src/daemon/options.rs
@@ -0,0 +1,86 @@
+//! Settings of the process as parameters of each duty.
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use poplartrail_settings::node::NodeSettings;
+
+use crate::{
+    adapters::{
+        ingress::IngressOptions,
+        peers::{PeersOptions, PeersTls},
+        platform::PlatformOptions,
+        probe::ProbeOptions,
+        report::ReportOptions,
+        upstream::UpstreamOptions,
+    },
+    ports::SystemClock,
+};
+
+/// Room for fields around the bodies of messages between nodes, in bytes.
+const MESSAGE_MARGIN: usize = 64 << 10;
+
+pub(crate) fn ingress(settings: &NodeSettings, clock: SystemClock) -> IngressOptions<SystemClock> {
+    IngressOptions {
+        callers: settings.listen.callers,
+        upstream: settings.listen.upstream,
+        service: settings.service.clone(),
+        max_body_bytes: settings.limits.max_body_bytes,
+        max_header_bytes: settings.limits.max_header_bytes,
+        max_connections: settings.limits.max_connections,
+        max_pending: settings.limits.ring_len,
+        clock,
+    }
+}
+
+pub(crate) fn peers(
+    settings: &NodeSettings,
+    tls: PeersTls,
+    clock: SystemClock,
+) -> PeersOptions<SystemClock> {
+    let len = settings.limits.ring_len;
+    PeersOptions {
+        vm: settings.vm.clone(),
+        listen: settings.listen.peers,
+        tls,
+        max_message_bytes: settings.limits.max_body_bytes + MESSAGE_MARGIN,
+        // The ring also carries calls to other nodes, of which there are at most `max_calls`.
+        max_pending: len.saturating_sub(settings.limits.max_calls).max(len / 2),
+        clock,
+    }
+}
+
+pub(crate) fn upstream(
+    settings: &NodeSettings,
+    clock: SystemClock,
+) -> UpstreamOptions<SystemClock> {
+    UpstreamOptions {
+        vm: settings.vm.clone(),
+        addr: settings.upstream.addr,
+        connections: settings.upstream.connections,
+        max_body_bytes: settings.limits.max_body_bytes,
+        clock,
+    }
+}
+
+pub(crate) fn platform(settings: &NodeSettings) -> PlatformOptions {
+    PlatformOptions {
+        addr: settings.platform.addr,
+        poll: settings.platform.poll,
+        timeout: settings.platform.timeout,
+        service: settings.service.clone(),
+    }
+}
+
+pub(crate) fn report(settings: &NodeSettings, metrics: PrometheusHandle) -> ReportOptions {
+    ReportOptions {
+        vm: settings.vm.clone(),
+        listen: settings.listen.report,
+        events: settings.limits.events,
+        metrics,
+    }
+}
+
+/// Parameters of the probe, if the upstream has a load endpoint.
+pub(crate) fn probe(settings: &NodeSettings) -> Option<ProbeOptions> {
+    let path = settings.upstream.load_path.clone()?;
+    Some(ProbeOptions { addr: settings.upstream.addr, path, poll: settings.upstream.load_poll })
+}
--- a/crates/poplartrail-node/src/daemon/start.rs
+++ b/crates/poplartrail-node/src/daemon/start.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::Arc,
     thread::{Builder, JoinHandle},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -17,15 +17,11 @@
 use tokio::sync::watch;
 
 use crate::{
-    adapters::{
-        ingress::{self, IngressOptions},
-        peers::{self, PeersOptions, PeersTls},
-        platform::{self, PlatformOptions},
-        probe::{self, ProbeOptions},
-        report::{self, ReportOptions},
-        upstream::{self, UpstreamOptions},
+    adapters::{ingress, peers, platform, probe, report, upstream},
+    daemon::{
+        DaemonError, options,
+        stop::{await_end, await_stop},
     },
-    daemon::DaemonError,
     decide::{self, Outlets},
     ports::{Clock, SystemClock, ring},
 };
@@ -34,12 +30,6 @@
 const FIRST_RANK: &str = "unconfigured";
 /// Target of that rank.
 const FIRST_TARGET: Duration = Duration::from_secs(1);
-/// Room for fields around the bodies of messages between nodes, in bytes.
-const MESSAGE_MARGIN: usize = 64 << 10;
-/// Longest wait for the servers to close their connections after the last call.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Time between two looks at threads that are ending.
-const JOIN_PAUSE: Duration = Duration::from_millis(20);
 
 /// Runs one node until it has been asked to stop and nothing is in progress.
 pub fn run(settings: &NodeSettings) -> Result<(), DaemonError> {
@@ -47,7 +37,7 @@
         .install_recorder()
         .map_err(|err| DaemonError::Metrics(err.to_string()))?;
     let clock = SystemClock::start();
-    let tls = PeersTls::new(&settings.tls.ca, &settings.tls.cert, &settings.tls.key)?;
+    let tls = peers::PeersTls::new(&settings.tls.ca, &settings.tls.cert, &settings.tls.key)?;
     let node = node(settings, clock);
     let len = settings.limits.ring_len;
     let (decide_tx, decide_rx) = ring(len);
@@ -65,44 +55,11 @@
         report: report_tx,
     };
 
-    let ingress_options = IngressOptions {
-        callers: settings.listen.callers,
-        upstream: settings.listen.upstream,
-        service: settings.service.clone(),
-        max_body_bytes: settings.limits.max_body_bytes,
-        max_header_bytes: settings.limits.max_header_bytes,
-        max_connections: settings.limits.max_connections,
-        max_pending: len,
-        clock,
-    };
-    let peers_options = PeersOptions {
-        vm: settings.vm.clone(),
-        listen: settings.listen.peers,
-        tls,
-        max_message_bytes: settings.limits.max_body_bytes + MESSAGE_MARGIN,
-        // The ring also carries calls to other nodes, of which there are at most `max_calls`.
-        max_pending: len.saturating_sub(settings.limits.max_calls).max(len / 2),
-        clock,
-    };
-    let upstream_options = UpstreamOptions {
-        vm: settings.vm.clone(),
-        addr: settings.upstream.addr,
-        connections: settings.upstream.connections,
-        max_body_bytes: settings.limits.max_body_bytes,
-        clock,
-    };
-    let platform_options = PlatformOptions {
-        addr: settings.platform.addr,
-        poll: settings.platform.poll,
-        timeout: settings.platform.timeout,
-        service: settings.service.clone(),
-    };
-    let report_options = ReportOptions {
-        vm: settings.vm.clone(),
-        listen: settings.listen.report,
-        events: settings.limits.events,
-        metrics,
-    };
+    let ingress_options = options::ingress(settings, clock);
+    let peers_options = options::peers(settings, tls, clock);
+    let upstream_options = options::upstream(settings, clock);
+    let platform_options = options::platform(settings);
+    let report_options = options::report(settings, metrics);
 
     thread("decide", move || {
         decide::run(node, &clock, &decide_rx, &outlets, &stopped_tx);
@@ -119,9 +76,7 @@
     let (tx, stopped) = (decide_tx.clone(), stopped_rx.clone());
     let report_thread =
         thread("report", move || report::run(report_options, report_rx, &tx, &stopped))?;
-    if let Some(path) = settings.upstream.load_path.clone() {
-        let options =
-            ProbeOptions { addr: settings.upstream.addr, path, poll: settings.upstream.load_poll };
+    if let Some(options) = options::probe(settings) {
         thread("probe", move || probe::run(options, &decide_tx))?;
     }
     spdlog::info!("node {} of service {} started", settings.vm, settings.service);
@@ -129,7 +84,7 @@
     await_stop(&mut stopped_rx, settings);
     // For a while other nodes still route here; they are told to go elsewhere.
     std::thread::sleep(settings.stop.linger);
-    await_end(&[&ingress_thread, &report_thread, &peers_thread], CLOSE_TIMEOUT);
+    await_end(&[&ingress_thread, &report_thread, &peers_thread]);
     spdlog::info!("node {} stopped", settings.vm);
     Ok(())
 }
@@ -141,44 +96,6 @@
     Builder::new().name(name.to_owned()).spawn(duty).map_err(|err| DaemonError::Thread(name, err))
 }
 
-/// Waits until nothing is in progress, or the bound on a planned stop has passed.
-fn await_stop(stopped: &mut watch::Receiver<bool>, settings: &NodeSettings) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let Ok(runtime) = runtime else { return };
-    runtime.block_on(async {
-        let asked = async {
-            let terminate = tokio::signal::unix::SignalKind::terminate();
-            let interrupt = tokio::signal::unix::SignalKind::interrupt();
-            let hangup = tokio::signal::unix::SignalKind::hangup();
-            let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = (
-                tokio::signal::unix::signal(terminate),
-                tokio::signal::unix::signal(interrupt),
-                tokio::signal::unix::signal(hangup),
-            ) else {
-                return std::future::pending().await;
-            };
-            tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
-                _ = hangup.recv() => {}
-            }
-            tokio::time::sleep(settings.stop.drain).await;
-            spdlog::warn!("calls in progress were cut off: raise stop.drain_s");
-        };
-        tokio::select! {
-            _ = stopped.wait_for(|is_stopped| *is_stopped) => {}
-            () = asked => {}
-        }
-    });
-}
-
-fn await_end(threads: &[&JoinHandle<()>], timeout: Duration) {
-    let end = Instant::now() + timeout;
-    while Instant::now() < end && threads.iter().any(|thread| !thread.is_finished()) {
-        std::thread::sleep(JOIN_PAUSE);
-    }
-}
-
 fn node(settings: &NodeSettings, clock: SystemClock) -> Node {
     let wall = clock.wall();
     let me = Member {
