Test the messages between nodes for themselves

The wire crate had no tests of its own: calls and replies there and back, 2 000 cases each with a fixed seed, and 2 000 of bytes that are no message.

--- /dev/null
+++ b/crates/poplartrail-wire/tests/peer_messages.rs
@@ -0,0 +1,114 @@
+//! Messages between nodes: there and back unchanged, and no harm from bytes that are none.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use poplartrail_core::{
+    call::{Answer, Call, Context, Effect, Field, Payload, RequestId, RetryBudget, Share},
+    engine::{Origin, PeerOutcome, Port, Ticket},
+    keys::IdempotencyKey,
+    names::{RankName, ServiceName, VmName},
+    route::GateReport,
+    time::{Time, WallTime},
+};
+use poplartrail_wire::{
+    call::{PeerRequest, arrival, decode_request, encode_call},
+    reply::{PeerReply, decode_reply, encode_outcome},
+};
+use proptest::prelude::*;
+
+fn context(effect: Effect, left: Duration) -> Context {
+    Context {
+        request: RequestId(0x0192_f3c4_0000_7000_8000_0000_0000_0001),
+        rank: RankName::new("urgent").unwrap(),
+        deadline: Time::from_millis(1_000) + left,
+        depth: 21,
+        effect,
+    }
+}
+
+fn payload(body: Vec<u8>) -> Payload {
+    Payload {
+        method: Arc::from("POST"),
+        target: Arc::from("/book?day=3"),
+        fields: vec![Field { name: Arc::from("x-mark"), value: Bytes::from_static(b"\xff m1") }],
+        body: Bytes::from(body),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(13),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn call_there_and_back(
+        left_us in 0u64..100_000_000,
+        retries in 0u8..=255,
+        parts in 1u32..=65_536,
+        random in any::<u128>(),
+        has_key in any::<bool>(),
+        body in proptest::collection::vec(any::<u8>(), 0..2_000),
+    ) {
+        let key = IdempotencyKey::mint(WallTime::from_millis(1_800_000_000_000), random);
+        let effect = if has_key { Effect::Once(key) } else { Effect::Idempotent };
+        let left = Duration::from_micros(left_us);
+        let (sent, payload) = (context(effect, left), payload(body));
+        let (from, service) = (VmName::new("vm-1").unwrap(), ServiceName::new("swaps").unwrap());
+        let (budget, passed) = (RetryBudget::new(retries), Share::from_parts(parts));
+        let now = Time::from_millis(1_000);
+        let bytes = encode_call(&from, &service, now, &sent, (budget, passed), &payload);
+        let Ok(PeerRequest::Call(vm, call)) = decode_request(&bytes) else {
+            return Err(TestCaseError::fail("no call"));
+        };
+        prop_assert_eq!(vm, from);
+        // The clock of the receiver has nothing to do with that of the sender.
+        let (there, ticket) = (Time::from_millis(77), Ticket { port: Port::Peers, id: 5 });
+        let read = arrival(*call, ticket, there).expect("what was written can be read");
+        prop_assert_eq!(read.origin, Origin::Peer { budget, depth: 21, passed });
+        prop_assert_eq!(read.service, service);
+        prop_assert_eq!(read.request, sent.request);
+        prop_assert_eq!(read.rank, Some(sent.rank));
+        prop_assert_eq!(read.deadline, Some(there + left));
+        prop_assert_eq!(read.effect, sent.effect);
+        prop_assert_eq!(read.payload, payload);
+    }
+
+    #[test]
+    fn reply_there_and_back(
+        status in 100u16..600,
+        parts in proptest::collection::vec(0u32..=65_536, 0..16),
+        load in any::<u16>(),
+        config in any::<u64>(),
+        body in proptest::collection::vec(any::<u8>(), 0..2_000),
+    ) {
+        let answer = Answer { status, fields: Vec::new(), body: Bytes::from(body) };
+        let service = ServiceName::new("swaps").unwrap();
+        let now = Time::from_millis(1_000);
+        let sent = context(Effect::Idempotent, Duration::from_secs(1));
+        let call = Call::arrived(service, sent, Payload::default()).send(now);
+        let report = GateReport {
+            shares: parts.iter().map(|parts| Share::from_parts(*parts)).collect(),
+            load,
+            config,
+            ..GateReport::default()
+        };
+        let bytes = encode_outcome(&call.answer(answer.clone()), &report);
+        let Ok(PeerReply::Call(PeerOutcome::Answered(read), state)) = decode_reply(&bytes) else {
+            return Err(TestCaseError::fail("no answer"));
+        };
+        prop_assert_eq!(read, answer);
+        prop_assert_eq!(state, report);
+    }
+
+    #[test]
+    fn other_bytes_do_no_harm(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        if let Ok(PeerRequest::Call(_, call)) = decode_request(&bytes) {
+            drop(arrival(*call, Ticket { port: Port::Peers, id: 1 }, Time::ZERO));
+        }
+        drop(decode_reply(&bytes));
+    }
+}
