--- a/crates/poplartrail-core/src/engine/calls.rs
+++ b/crates/poplartrail-core/src/engine/calls.rs
@@ -30,8 +30,6 @@
 const PATH_SHARE_FRESH: Duration = Duration::from_millis(5);
 /// Time after the last call to a service for which its shares count.
 const CALLED_WINDOW: Duration = Duration::from_secs(10);
-/// Lowest first limit, whatever the upstream says of itself.
-const MIN_FIRST_LIMIT: usize = 8;
 /// Highest first limit, whatever the upstream says of itself.
 const MAX_FIRST_LIMIT: usize = 64;
 
@@ -258,7 +256,8 @@
 
     /// Starts the gate's law again, after the upstream has come back.
     pub(crate) fn restart_gate(&mut self, slots: Option<usize>) {
-        let first = slots.map_or(Gradient::FIRST_LIMIT, first_limit);
+        let least = Gradient::FIRST_LIMIT;
+        let first = slots.map_or(least, |s| (s / 2).clamp(least, MAX_FIRST_LIMIT));
         if let Some(Law::Gradient(_)) = self.options.law {
             self.gate.set_law(Law::Gradient(Gradient::new(first)));
         }
@@ -405,18 +404,6 @@
     }
 }
 
-/// First limit for an upstream that says it has `slots` places.
-///
-/// Few places are taken as stated, as a limit above them only fills the upstream's own queue;
-/// of many, half is enough to begin with.
-fn first_limit(slots: usize) -> usize {
-    if slots < Gradient::FIRST_LIMIT {
-        slots.max(MIN_FIRST_LIMIT)
-    } else {
-        (slots / 2).clamp(Gradient::FIRST_LIMIT, MAX_FIRST_LIMIT)
-    }
-}
-
 fn new_gate(options: &CallsOptions, policy: &Policy) -> Gate {
     let options = GateOptions {
         law: options.law.clone(),
