--- a/crates/poplartrail-node/tests/node_drain.rs
+++ b/crates/poplartrail-node/tests/node_drain.rs
@@ -74,6 +74,24 @@
     });
 }
 
+/// Callers of the leaving node itself are served by another.
+#[tokio::test]
+async fn own_gate_closes() {
+    let fleet = Fleet::start(plan(Duration::from_secs(4))).await;
+    let caller = fleet.caller(1);
+    let long = tokio::spawn(async move { caller.send(&Call::get("/long")).await });
+    await_received(&fleet, 1).await;
+    fleet.nodes[1].daemon.signal("TERM");
+    fleet.await_status(1, "draining", |status| status["phase"] == "draining").await;
+    let caller = fleet.caller(1);
+    for turn in 0..10 {
+        let reply = caller.send(&Call::get(format!("/after/{turn}"))).await.unwrap();
+        assert_eq!((reply.status, reply.outcome()), (200, "answered"), "{}", reply.text());
+    }
+    assert_eq!(fleet.counts(1).await.received, 1, "it gets no new work");
+    assert_eq!(long.await.unwrap().expect("it is not cut off").status, 200);
+}
+
 async fn await_received(fleet: &Fleet, at: usize) {
     while fleet.counts(at).await.received == 0 {
         tokio::time::sleep(Duration::from_millis(20)).await;
