Say once what stood twice: calls between nodes, outcomes, a run's switches

Clean-up found on reading the whole change, with no change of behaviour: - the nine fields of a call to another node stood in Output, in PeersMessage and in each match between them; PeerCall holds them, goes through whole, and makes the arrival that the lab and the histories built each for itself; - an outcome becomes what a peer hears in one place (From<Outcome>); - the lab's builder repeated four setters of CallsOptions; it takes changes of the options themselves; - config_fold had its own copy of FixedPolicy; - status and timeline fetched the members in the same six lines.

--- a/crates/poplartrail-bench/src/lab/builder.rs
+++ b/crates/poplartrail-bench/src/lab/builder.rs
@@ -1,8 +1,7 @@
 //! Parameters of a run.
 
 use poplartrail_core::{
-    engine::Mechanisms,
-    gate::{Gradient, Law},
+    engine::CallsOptions,
     policy::{Bounds, Ranks},
     time::Time,
 };
@@ -15,10 +14,7 @@
     pub(crate) ranks: Ranks,
     pub(crate) loads: Vec<Load>,
     pub(crate) faults: Vec<Fault>,
-    pub(crate) law: Option<Law>,
-    pub(crate) has_shares: bool,
-    pub(crate) has_deadlines: bool,
-    pub(crate) mechanisms: Mechanisms,
+    pub(crate) calls: CallsOptions,
     pub(crate) measured_from: Time,
     pub(crate) until: Time,
     pub(crate) seed: u64,
@@ -32,10 +28,7 @@
             ranks,
             loads: Vec::new(),
             faults: Vec::new(),
-            law: Some(Law::Gradient(Gradient::default())),
-            has_shares: true,
-            has_deadlines: true,
-            mechanisms: Mechanisms::default(),
+            calls: CallsOptions::new(),
             measured_from: Time::ZERO,
             until: Time::from_millis(10_000),
             seed: 1,
@@ -43,31 +36,10 @@
         }
     }
 
-    /// Sets the law of the limits; `None` admits everything.
+    /// Changes what each node decides by.
     #[must_use]
-    pub fn law(mut self, law: impl Into<Option<Law>>) -> Self {
-        self.law = law.into();
-        self
-    }
-
-    /// Sets whether gates divide their capacity among the ranks.
-    #[must_use]
-    pub fn has_shares(mut self, has_shares: bool) -> Self {
-        self.has_shares = has_shares;
-        self
-    }
-
-    /// Sets whether calls that cannot finish in time are refused, and late ones ended.
-    #[must_use]
-    pub fn has_deadlines(mut self, has_deadlines: bool) -> Self {
-        self.has_deadlines = has_deadlines;
-        self
-    }
-
-    /// Sets the mechanisms that act across nodes.
-    #[must_use]
-    pub fn mechanisms(mut self, mechanisms: Mechanisms) -> Self {
-        self.mechanisms = mechanisms;
+    pub fn calls(mut self, change: impl FnOnce(CallsOptions) -> CallsOptions) -> Self {
+        self.calls = change(self.calls);
         self
     }
 
--- a/crates/poplartrail-bench/src/lab/world.rs
+++ b/crates/poplartrail-bench/src/lab/world.rs
@@ -5,8 +5,8 @@
 use poplartrail_core::{
     call::{Answer, Effect, Outcome, Payload, RequestId},
     engine::{
-        Arrival, CallKey, CallsOptions, EventKind, FixedPolicy, Input, Node, NodeOptions, Origin,
-        Output, PeerOutcome, Port, Ticket, UpstreamFault,
+        Arrival, CallKey, EventKind, FixedPolicy, Input, Node, NodeOptions, Origin, Output,
+        PeerCall, Port, Ticket, UpstreamFault,
     },
     member::Member,
     names::{ServiceName, VmName, ZoneName},
@@ -144,13 +144,8 @@
             addr: SocketAddr::from(([127, 0, 0, 1], at as u16 + 1)),
             report: SocketAddr::from(([127, 0, 0, 1], at as u16 + 1)),
         };
-        let calls = CallsOptions::new()
-            .law(options.law.clone())
-            .has_shares(options.has_shares)
-            .has_deadlines(options.has_deadlines)
-            .mechanisms(options.mechanisms)
-            .max_calls(1_000_000)
-            .seed(options.seed ^ (at as u64) << 20);
+        let calls =
+            options.calls.clone().max_calls(1_000_000).seed(options.seed ^ (at as u64) << 20);
         let mut node = Node::new(NodeOptions {
             me: member,
             first_policy: policy.clone(),
@@ -295,9 +290,8 @@
                 self.dispatch(node, call, job);
             }
             Output::CancelDispatch { call } => self.cancel_dispatch(node, call),
-            Output::Send {
-                call, attempt, to, context, budget, passed, payload, service, ..
-            } => {
+            Output::Send(send) => {
+                let PeerCall { call, attempt, to, .. } = send;
                 let other = usize::from(to.port()) - 1;
                 let waiter = Waiter::Peer { node, call, attempt };
                 let ticket = self.ticket(Port::Peers, waiter);
@@ -306,18 +300,7 @@
                     let vm = self.places[other].node.me().vm.clone();
                     return self.later(SILENCE_NOTICE, node, Input::PeerSilent(vm));
                 }
-                let depth = context.depth;
-                let arrival = Arrival {
-                    ticket,
-                    origin: Origin::Peer { budget, depth, passed },
-                    service,
-                    request: context.request,
-                    rank: Some(context.rank),
-                    deadline: Some(context.deadline),
-                    effect: context.effect,
-                    payload,
-                };
-                self.later(self.graph.hop, other, Input::Arrive(arrival));
+                self.later(self.graph.hop, other, Input::Arrive(send.into_arrival(ticket)));
             }
             Output::CancelSend { call, attempt } => {
                 if let Some((other, ticket)) = self.sent.remove(&(node, call, attempt)) {
@@ -356,7 +339,7 @@
                 if self.places[from].silent_from[node] {
                     return;
                 }
-                let result = Ok((peer_outcome(outcome), report));
+                let result = Ok((outcome.into(), report));
                 self.later(self.graph.hop, from, Input::PeerDone { call, attempt, result });
             }
             None => {}
@@ -537,18 +520,6 @@
     Payload { body: bytes::Bytes::from_static(&ZEROS[..below]), ..Payload::default() }
 }
 
-fn peer_outcome(outcome: Outcome) -> PeerOutcome {
-    match outcome {
-        Outcome::Answered(answer) => PeerOutcome::Answered(answer),
-        Outcome::NotRun(not_run) => PeerOutcome::NotRun {
-            reason: not_run.reason(),
-            retry_after: not_run.retry_after(),
-            by: not_run.by().clone(),
-        },
-        Outcome::Unknown(unknown) => PeerOutcome::Unknown(unknown.doubt),
-    }
-}
-
 fn policy_of(options: &LabBuilder) -> Policy {
     let services = (0..options.graph.services.len())
         .map(|s| ServiceRule { name: service_name(s), key_slots: 1, calls: Vec::new() })
--- a/crates/poplartrail-bench/src/scenarios/baselines.rs
+++ b/crates/poplartrail-bench/src/scenarios/baselines.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use poplartrail_core::{
-    engine::Mechanisms,
+    engine::{CallsOptions, Mechanisms},
     gate::{Aimd, Fixed, Gradient, Law, Vegas},
 };
 
@@ -52,30 +52,30 @@
 
     /// Switches the mechanisms of a run.
     pub fn apply(self, builder: LabBuilder) -> LabBuilder {
+        builder.calls(|calls| self.switch(calls))
+    }
+
+    fn switch(self, calls: CallsOptions) -> CallsOptions {
         let on = Mechanisms::default();
         let off = Mechanisms { has_common_order: false, has_path_shares: false, ..on };
+        let without_shares =
+            |calls: CallsOptions| calls.has_shares(false).has_deadlines(false).mechanisms(off);
         match self {
-            Baseline::Full => builder,
-            Baseline::NoLimit => {
-                builder.law(None).has_shares(false).has_deadlines(false).mechanisms(off)
+            Baseline::Full => calls,
+            Baseline::NoLimit => without_shares(calls.law(None)),
+            Baseline::StaticLimit(limit) => {
+                without_shares(calls.law(Law::Fixed(Fixed::new(limit))))
             }
-            Baseline::StaticLimit(limit) => builder
-                .law(Law::Fixed(Fixed::new(limit)))
-                .has_shares(false)
-                .has_deadlines(false)
-                .mechanisms(off),
-            Baseline::IndependentShedding => builder.mechanisms(off),
+            Baseline::IndependentShedding => calls.mechanisms(off),
             Baseline::IndependentRetries => {
-                builder.mechanisms(Mechanisms { has_shared_budget: false, ..on })
-            }
-            Baseline::NoPathShares => {
-                builder.mechanisms(Mechanisms { has_path_shares: false, ..on })
+                calls.mechanisms(Mechanisms { has_shared_budget: false, ..on })
             }
+            Baseline::NoPathShares => calls.mechanisms(Mechanisms { has_path_shares: false, ..on }),
             Baseline::NoSilenceWatch => {
-                builder.mechanisms(Mechanisms { has_silence_watch: false, ..on })
+                calls.mechanisms(Mechanisms { has_silence_watch: false, ..on })
             }
-            Baseline::NoShares => builder.has_shares(false),
-            Baseline::NoDeadlines => builder.has_deadlines(false),
+            Baseline::NoShares => calls.has_shares(false),
+            Baseline::NoDeadlines => calls.has_deadlines(false),
         }
     }
 }
--- a/crates/poplartrail-cli/src/commands/status.rs
+++ b/crates/poplartrail-cli/src/commands/status.rs
@@ -9,11 +9,7 @@
 };
 
 pub(crate) async fn run(options: &Options) -> Exit {
-    let members = match FleetReader::new(options.log) {
-        Ok(mut reader) => reader.members().await,
-        Err(err) => Err(err),
-    };
-    let members = match members {
+    let members = match FleetReader::members_at(options.log).await {
         Ok(members) => members,
         Err(err) => return out_of_reach(&err),
     };
--- a/crates/poplartrail-cli/src/commands/timeline.rs
+++ b/crates/poplartrail-cli/src/commands/timeline.rs
@@ -10,11 +10,7 @@
 };
 
 pub(crate) async fn run(options: &Timeline) -> Exit {
-    let members = match FleetReader::new(options.fleet.log) {
-        Ok(mut reader) => reader.members().await,
-        Err(err) => Err(err),
-    };
-    let members = match members {
+    let members = match FleetReader::members_at(options.fleet.log).await {
         Ok(members) => members,
         Err(err) => return out_of_reach(&err),
     };
--- a/crates/poplartrail-cli/src/fleet.rs
+++ b/crates/poplartrail-cli/src/fleet.rs
@@ -39,6 +39,11 @@
         })
     }
 
+    /// The members that the log at `addr` announces.
+    pub(crate) async fn members_at(addr: SocketAddr) -> Result<Vec<Member>, LogError> {
+        Self::new(addr)?.members().await
+    }
+
     /// Reads the configuration stream to its end.
     pub(crate) async fn read_config(&mut self) -> Result<(), LogError> {
         loop {
--- a/crates/poplartrail-core/src/engine/input.rs
+++ b/crates/poplartrail-core/src/engine/input.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    call::{Answer, Doubt, Effect, Payload, Refusal, RequestId, RetryBudget, Share},
+    call::{Answer, Doubt, Effect, Outcome, Payload, Refusal, RequestId, RetryBudget, Share},
     config::Snapshot,
     engine::CallKey,
     member::MemberRecord,
@@ -102,6 +102,20 @@
     Unknown(Doubt),
 }
 
+impl From<Outcome> for PeerOutcome {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Answered(answer) => PeerOutcome::Answered(answer),
+            Outcome::NotRun(not_run) => PeerOutcome::NotRun {
+                reason: not_run.reason(),
+                retry_after: not_run.retry_after(),
+                by: not_run.by().clone(),
+            },
+            Outcome::Unknown(unknown) => PeerOutcome::Unknown(unknown.doubt),
+        }
+    }
+}
+
 /// Why another node gave no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerFault {
--- a/crates/poplartrail-core/src/engine/output.rs
+++ b/crates/poplartrail-core/src/engine/output.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use crate::{
-    call::{Context, Outcome, Payload, RetryBudget, Share},
+    call::{Context, Outcome, Payload},
     config::Snapshot,
-    engine::{CallKey, Event, Ticket},
+    engine::{CallKey, Event, PeerCall, Ticket},
     member::MemberRecord,
     names::{ServiceName, VmName},
     route::GateReport,
@@ -38,26 +38,7 @@
         call: CallKey,
     },
     /// Hand a call to another node.
-    Send {
-        /// The call.
-        call: CallKey,
-        /// Which of its sends.
-        attempt: u32,
-        /// VM of the other node.
-        vm: VmName,
-        /// Its address.
-        to: SocketAddr,
-        /// The service.
-        service: ServiceName,
-        /// What travels with it.
-        context: Context,
-        /// Retries that the other node may cause.
-        budget: RetryBudget,
-        /// Smallest share of its rank that the request has passed.
-        passed: Share,
-        /// Its content.
-        payload: Payload,
-    },
+    Send(PeerCall),
     /// Tell another node that nobody waits for a call.
     CancelSend {
         /// The call.
--- a/crates/poplartrail-core/src/engine/sending.rs
+++ b/crates/poplartrail-core/src/engine/sending.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     call::{Arrived, Call, Doubt, Effect, Outcome, Refusal},
-    engine::{CallKey, Calls, EventKind, Output, calls::Cx, live::Stage},
+    engine::{CallKey, Calls, EventKind, Output, PeerCall, calls::Cx, live::Stage},
     keys::{Home, IdempotencyKey, LeaseTerms},
     member::{MemberRecord, MemberState},
     names::ServiceName,
@@ -136,7 +136,7 @@
         live.attempt += 1;
         live.carried = live.budget.carry();
         live.instance = Some(instance);
-        cx.out.push(Output::Send {
+        cx.out.push(Output::Send(PeerCall {
             call: key,
             attempt: live.attempt,
             vm,
@@ -146,7 +146,7 @@
             budget: live.carried,
             passed: live.passed.min(admitted),
             payload: call.payload().clone(),
-        });
+        }));
         live.stage = Stage::Away(call.send(cx.now));
     }
 
--- a/crates/poplartrail-core/tests/config_fold.rs
+++ b/crates/poplartrail-core/tests/config_fold.rs
@@ -1,27 +1,15 @@
 //! The configuration as a fold: races, repeats, lost beginnings, and no way back.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use poplartrail_core::{
-    config::{Change, ChangeId, Document, DocumentCheck, DocumentId, History, Step, Verdict},
+    config::{Change, ChangeId, DocumentId, History, Step, Verdict},
+    engine::FixedPolicy,
     names::OperatorName,
     time::WallTime,
 };
 use proptest::prelude::*;
 
-/// Takes every document.
-struct TakesAll;
-
-impl DocumentCheck for TakesAll {
-    fn check(
-        &self,
-        _before: &BTreeMap<DocumentId, Document>,
-        _after: &BTreeMap<DocumentId, Document>,
-    ) -> Result<(), Arc<str>> {
-        Ok(())
-    }
-}
-
 fn change(id: u128, against: u64) -> Change {
     Change {
         id: ChangeId(id),
@@ -37,7 +25,7 @@
 }
 
 fn apply(history: &mut History, offset: u64, change: &Change) -> bool {
-    history.apply(offset, at(offset), &Step::Change(change.clone()), &TakesAll)
+    history.apply(offset, at(offset), &Step::Change(change.clone()), &FixedPolicy)
 }
 
 #[test]
@@ -80,7 +68,7 @@
     assert!(late.has_gap());
     assert!(late.snapshot().is_none());
     // The state up to the gap lets it catch up.
-    assert!(late.apply(5, at(5), &Step::Snapshot(early), &TakesAll));
+    assert!(late.apply(5, at(5), &Step::Snapshot(early), &FixedPolicy));
     assert_eq!(late.version(), 5);
     assert!(!late.has_gap());
 }
@@ -91,8 +79,8 @@
     assert!(apply(&mut history, 0, &change(1, 0)));
     let old = history.snapshot().unwrap();
     assert!(apply(&mut history, 1, &change(2, 1)));
-    assert!(!history.adopt(&old, &TakesAll));
-    assert!(!history.apply(2, at(2), &Step::Snapshot(old), &TakesAll));
+    assert!(!history.adopt(&old, &FixedPolicy));
+    assert!(!history.apply(2, at(2), &Step::Snapshot(old), &FixedPolicy));
     assert_eq!(history.version(), 2);
 }
 
@@ -104,7 +92,7 @@
     assert!(!history.needs_carrying(at(50), retention));
     assert!(history.needs_carrying(at(51), retention));
     let snapshot = history.snapshot().unwrap();
-    assert!(!history.apply(1, at(60), &Step::Snapshot(snapshot), &TakesAll));
+    assert!(!history.apply(1, at(60), &Step::Snapshot(snapshot), &FixedPolicy));
     assert!(!history.needs_carrying(at(100), retention));
 }
 
@@ -141,7 +129,7 @@
                 Step::Change(change(turn as u128 + 1, current.saturating_sub(*behind)))
             };
             let offset = log.len() as u64;
-            reference.apply(offset, at(offset), &step, &TakesAll);
+            reference.apply(offset, at(offset), &step, &FixedPolicy);
             log.push(step);
             past.push(reference.clone());
             versions.push(reference.version());
@@ -153,7 +141,7 @@
             node.note_oldest(first as u64);
             let mut last = 0;
             for (offset, step) in log.iter().enumerate().skip(first) {
-                node.apply(offset as u64, at(offset as u64), step, &TakesAll);
+                node.apply(offset as u64, at(offset as u64), step, &FixedPolicy);
                 prop_assert!(node.version() >= last, "a node never goes back");
                 last = node.version();
             }
--- a/crates/poplartrail-core/tests/given_up_slot.rs
+++ b/crates/poplartrail-core/tests/given_up_slot.rs
@@ -146,7 +146,7 @@
     let told = Input::PeerMembers(vec![next.clone()]);
     node.handle(Time::from_millis(3), START, told, &mut Vec::new());
     let out = ask(&mut node, origin, later_key());
-    assert!(out.iter().any(|o| matches!(o, Output::Send { vm, .. } if *vm == next.member.vm)));
+    assert!(out.iter().any(|o| matches!(o, Output::Send(send) if send.vm == next.member.vm)));
 }
 
 /// When the log is back after every lease has run out, nodes do not meet at the same slots.
--- a/crates/poplartrail-core/tests/once_histories.rs
+++ b/crates/poplartrail-core/tests/once_histories.rs
@@ -16,7 +16,7 @@
     call::{Answer, Effect, Outcome, Payload, Refusal, RequestId},
     engine::{
         Arrival, CallKey, CallsOptions, FixedPolicy, Input, LogBatch, LogRecord, Mechanisms, Node,
-        NodeOptions, Origin, Output, PeerFault, PeerOutcome, Port, Ticket, UpstreamFault,
+        NodeOptions, Origin, Output, PeerCall, PeerFault, Port, Ticket, UpstreamFault,
     },
     keys::IdempotencyKey,
     member::{Member, MemberRecord},
@@ -278,22 +278,7 @@
                 self.plan(wait, Event::Append(record));
             }
             Output::Dispatch { call, context, .. } => self.work(node, call, context.effect),
-            Output::Send { call, attempt, to, context, budget, passed, payload, .. } => {
-                let other = usize::from(to.port()) - 1;
-                let key = context.effect.key().expect("every call has a key");
-                let origin = Origin::Peer { budget, depth: context.depth, passed };
-                let sender = (node, call, attempt);
-                self.send(sender, other, key, |ticket| Arrival {
-                    ticket,
-                    origin,
-                    service: service(),
-                    request: context.request,
-                    rank: Some(context.rank),
-                    deadline: Some(context.deadline),
-                    effect: context.effect,
-                    payload,
-                });
-            }
+            Output::Send(send) => self.send(node, send),
             Output::AskMembers { to, own, .. } => {
                 let other = usize::from(to.port()) - 1;
                 if !self.is_cut(node, other) {
@@ -307,22 +292,19 @@
         }
     }
 
-    fn send(
-        &mut self,
-        (node, call, attempt): (usize, CallKey, u32),
-        other: usize,
-        key: IdempotencyKey,
-        arrival: impl FnOnce(Ticket) -> Arrival,
-    ) {
+    fn send(&mut self, node: usize, send: PeerCall) {
+        let PeerCall { call, attempt, to, .. } = send;
+        let other = usize::from(to.port()) - 1;
         if self.is_cut(node, other) || self.chance(0.03) {
             let result = Err(PeerFault::Lost);
             return self.later(SILENCE, node, Input::PeerDone { call, attempt, result });
         }
+        let key = send.context.effect.key().expect("every call has a key");
         let incarnation = self.hosts[node].incarnation;
         let waiter = Waiter::Peer { node, incarnation, call, attempt, key };
         let ticket = self.ticket(Port::Peers, waiter);
         let wait = self.millis(1, 30);
-        self.later(wait, other, Input::Arrive(arrival(ticket)));
+        self.later(wait, other, Input::Arrive(send.into_arrival(ticket)));
     }
 
     fn ticket(&mut self, port: Port, waiter: Waiter) -> Ticket {
@@ -352,7 +334,7 @@
         let result = if self.is_cut(node, from) || self.chance(0.03) {
             Err(PeerFault::Lost)
         } else {
-            Ok((peer_outcome(outcome), report))
+            Ok((outcome.into(), report))
         };
         let wait = if result.is_err() { SILENCE } else { self.millis(1, 30) };
         let input = Box::new(Input::PeerDone { call, attempt, result });
@@ -446,18 +428,6 @@
     }
 }
 
-fn peer_outcome(outcome: Outcome) -> PeerOutcome {
-    match outcome {
-        Outcome::Answered(answer) => PeerOutcome::Answered(answer),
-        Outcome::NotRun(not_run) => PeerOutcome::NotRun {
-            reason: not_run.reason(),
-            retry_after: not_run.retry_after(),
-            by: not_run.by().clone(),
-        },
-        Outcome::Unknown(unknown) => PeerOutcome::Unknown(unknown.doubt),
-    }
-}
-
 /// Runs histories; returns the keys that ran, the calls answered and what went wrong.
 fn histories(seeds: std::ops::Range<u64>, mechanisms: Mechanisms) -> (usize, u64, Vec<String>) {
     let (mut ran, mut answered, mut wrong) = (0, 0, Vec::new());
--- a/crates/poplartrail-node/src/adapters/peers/run.rs
+++ b/crates/poplartrail-node/src/adapters/peers/run.rs
@@ -126,22 +126,10 @@
             PeersMessage::Reply { ticket, outcome, report } => {
                 self.pending.fulfil(ticket, (outcome, report));
             }
-            PeersMessage::Send {
-                call,
-                attempt,
-                vm,
-                to,
-                service,
-                context,
-                budget,
-                passed,
-                payload,
-            } => {
+            PeersMessage::Send(send) => {
                 let now = self.options.clock.now();
-                let from = &self.options.vm;
-                let bytes =
-                    call::encode_call(from, &service, now, &context, (budget, passed), &payload);
-                self.send(call, attempt, vm, to, bytes);
+                let bytes = call::encode_call(&self.options.vm, now, &send);
+                self.send(send.call, send.attempt, send.vm, send.to, bytes);
             }
             PeersMessage::Cancel { call, attempt } => {
                 if let Some(handle) = self.handles.remove(&(call, attempt)) {
--- a/crates/poplartrail-node/src/decide/outlets.rs
+++ b/crates/poplartrail-node/src/decide/outlets.rs
@@ -54,19 +54,9 @@
                     result: Err(UpstreamFault::NotConnected),
                 })
             }
-            Output::Send { call, attempt, vm, to, service, context, budget, passed, payload } => {
-                let message = PeersMessage::Send {
-                    call,
-                    attempt,
-                    vm,
-                    to,
-                    service,
-                    context,
-                    budget,
-                    passed,
-                    payload,
-                };
-                let is_full = note_full(self.peers.offer(message), "peers");
+            Output::Send(send) => {
+                let (call, attempt) = (send.call, send.attempt);
+                let is_full = note_full(self.peers.offer(PeersMessage::Send(send)), "peers");
                 is_full.then_some(Input::PeerDone { call, attempt, result: Err(PeerFault::Unsent) })
             }
             output => {
--- a/crates/poplartrail-node/src/ports/message.rs
+++ b/crates/poplartrail-node/src/ports/message.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use poplartrail_core::{
-    call::{Context, Outcome, Payload, RetryBudget, Share},
+    call::{Context, Outcome, Payload},
     config::Snapshot,
-    engine::{CallKey, Event, Input, NodeView, Ticket},
+    engine::{CallKey, Event, Input, NodeView, PeerCall, Ticket},
     keys::IdempotencyKey,
     member::MemberRecord,
     names::{ServiceName, VmName},
@@ -57,26 +57,7 @@
         report: GateReport,
     },
     /// A call for another node.
-    Send {
-        /// The call.
-        call: CallKey,
-        /// Which of its sends.
-        attempt: u32,
-        /// The other node.
-        vm: VmName,
-        /// Its address.
-        to: SocketAddr,
-        /// The service.
-        service: ServiceName,
-        /// What travels with it.
-        context: Context,
-        /// Retries that the other node may cause.
-        budget: RetryBudget,
-        /// Smallest share of its rank that the request has passed.
-        passed: Share,
-        /// Its content.
-        payload: Payload,
-    },
+    Send(PeerCall),
     /// Nobody waits for a call any longer.
     Cancel {
         /// The call.
--- a/crates/poplartrail-wire/src/convert/call.rs
+++ b/crates/poplartrail-wire/src/convert/call.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use poplartrail_core::{
-    call::{Context, Effect, Field, Payload, RequestId, RetryBudget, Share},
-    engine::{Arrival, Origin, Ticket},
+    call::{Effect, Field, Payload, RequestId, RetryBudget, Share},
+    engine::{Arrival, Origin, PeerCall, Ticket},
     keys::IdempotencyKey,
     member::MemberRecord,
     names::{RankName, ServiceName, VmName},
@@ -84,24 +84,18 @@
 }
 
 /// Writes a call whose deadline is stated as the time left at `now`.
-pub fn encode_call(
-    from: &VmName,
-    service: &ServiceName,
-    now: Time,
-    context: &Context,
-    (budget, passed): (RetryBudget, Share),
-    payload: &Payload,
-) -> Vec<u8> {
+pub fn encode_call(from: &VmName, now: Time, call: &PeerCall) -> Vec<u8> {
+    let PeerCall { context, payload, .. } = call;
     let key = context.effect.key().map(|key| key.bits().to_be_bytes().to_vec());
     encode(wire::peer_request::Body::Call(wire::CallRequest {
         from: from.to_string(),
-        service: service.to_string(),
+        service: call.service.to_string(),
         request: context.request.0.to_be_bytes().to_vec().into(),
         rank: context.rank.to_string(),
         left_us: context.deadline.since(now).as_micros() as u64,
-        budget: u32::from(budget.left()),
+        budget: u32::from(call.budget.left()),
         depth: u32::from(context.depth),
-        passed: passed.parts(),
+        passed: call.passed.parts(),
         key: key.unwrap_or_default().into(),
         method: payload.method.to_string(),
         target: payload.target.to_string(),
--- a/crates/poplartrail-wire/tests/peer_messages.rs
+++ b/crates/poplartrail-wire/tests/peer_messages.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use poplartrail_core::{
     call::{Answer, Call, Context, Effect, Field, Payload, RequestId, RetryBudget, Share},
-    engine::{Origin, PeerOutcome, Port, Ticket},
+    engine::{CallKey, Origin, PeerCall, PeerOutcome, Port, Ticket},
     keys::IdempotencyKey,
     names::{RankName, ServiceName, VmName},
     route::GateReport,
@@ -60,7 +60,18 @@
         let (from, service) = (VmName::new("vm-1").unwrap(), ServiceName::new("swaps").unwrap());
         let (budget, passed) = (RetryBudget::new(retries), Share::from_parts(parts));
         let now = Time::from_millis(1_000);
-        let bytes = encode_call(&from, &service, now, &sent, (budget, passed), &payload);
+        let send = PeerCall {
+            call: CallKey::default(),
+            attempt: 1,
+            vm: VmName::new("vm-2").unwrap(),
+            to: "127.0.0.1:7000".parse().unwrap(),
+            service: service.clone(),
+            context: sent.clone(),
+            budget,
+            passed,
+            payload: payload.clone(),
+        };
+        let bytes = encode_call(&from, now, &send);
         let Ok(PeerRequest::Call(vm, call)) = decode_request(&bytes) else {
             return Err(TestCaseError::fail("no call"));
         };
