Make the core's decisions the same on every run of a seed

Leases, members and what peers said were iterated in the order of a randomly seeded hash map, and the choice of a slot or a peer followed it. Change: ordered maps where the core iterates.

--- a/crates/poplartrail-core/src/engine/keeper.rs
+++ b/crates/poplartrail-core/src/engine/keeper.rs
@@ -1,7 +1,7 @@
 //! State folded from the platform log, and what the node appends to it.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashSet},
     time::Duration,
 };
 
@@ -45,7 +45,7 @@
     pub(super) retention: Duration,
     pub(super) random: SmallRng,
     pub(super) is_leaving: bool,
-    peer_members: HashMap<VmName, MemberRecord>,
+    peer_members: BTreeMap<VmName, MemberRecord>,
 }
 
 impl Keeper {
@@ -66,7 +66,7 @@
             retention,
             random: SmallRng::seed_from_u64(seed),
             is_leaving: false,
-            peer_members: HashMap::new(),
+            peer_members: BTreeMap::new(),
         }
     }
 
--- a/crates/poplartrail-core/src/keys/home.rs
+++ b/crates/poplartrail-core/src/keys/home.rs
@@ -11,7 +11,7 @@
 pub struct Slot(pub u16);
 
 /// The availability zone and slot that a key belongs to.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Home {
     /// Availability zone.
     pub zone: ZoneName,
--- a/crates/poplartrail-core/src/keys/leases.rs
+++ b/crates/poplartrail-core/src/keys/leases.rs
@@ -1,6 +1,6 @@
 //! Leases of slots, as the platform log decides them.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     keys::{Epoch, Home},
@@ -69,8 +69,8 @@
 /// being free for as long as the record could make it held.
 #[derive(Debug, Clone, Default)]
 pub struct LeaseTable {
-    leases: HashMap<Home, Lease>,
-    doubts: HashMap<Home, WallTime>,
+    leases: BTreeMap<Home, Lease>,
+    doubts: BTreeMap<Home, WallTime>,
     trusted_from: WallTime,
 }
 
--- a/crates/poplartrail-core/src/member/roster.rs
+++ b/crates/poplartrail-core/src/member/roster.rs
@@ -1,6 +1,6 @@
 //! The fold of one service's stream.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     keys::{Home, LeaseTable},
@@ -26,7 +26,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Roster {
     next_offset: u64,
-    members: HashMap<VmName, RosterEntry>,
+    members: BTreeMap<VmName, RosterEntry>,
     leases: LeaseTable,
     log_now: WallTime,
 }
