Start no process of a test while a port is looked at

Its first read of the log had an open connection and no answer 2 ms after the node's start, and no version was ever published. A test looks for a free port by opening a listener and closing it. Between the start of a child process and the run of its program the child holds its parent's sockets, so when another test of the same program starts a process at that moment, the closed listener goes on taking connections. The fleet then took the connection for the log's, published to nobody, and did not look at the exit code of the tool.

Ruled out: a taken port (each test program has its own range, below the ports of outgoing connections), and the node's reader (it reads again after a failure, and had nothing to read).

Change: no process is started while a port is looked at; the fleet waits until the log answers a request, not only a connection; the first publication must be accepted. Test: free_ports.

--- a/crates/poplartrail-stand/src/fleet/mod.rs
+++ b/crates/poplartrail-stand/src/fleet/mod.rs
@@ -1,9 +1,11 @@
 //! Real processes on loopback: the daemon and its stand-ins.
 
 mod plan;
+mod ports;
 mod process;
 mod running;
 
 pub use plan::{FleetPlan, NodePlan};
+pub use ports::free_address;
 pub use process::Process;
 pub use running::{Fleet, NodeHandle};
--- a/crates/poplartrail-stand/src/fleet/process.rs
+++ b/crates/poplartrail-stand/src/fleet/process.rs
@@ -5,12 +5,24 @@
     fs::File,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
 /// Time between two looks at a process that is ending.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
+/// Held while a child process is started, and while a socket is open to see that its port is free.
+static STARTS: Mutex<()> = Mutex::new(());
+
+/// Keeps child processes from being started until the guard is dropped.
+///
+/// Between its start and the run of its program, a child process holds the sockets of its parent:
+/// a listener closed meanwhile goes on taking connections.
+pub(super) fn hold_starts() -> MutexGuard<'static, ()> {
+    STARTS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A child process that is killed when dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -27,12 +39,9 @@
         let output = dir.join(format!("{label}.log"));
         let file = File::create(&output).expect("the folder of the test can be written");
         let errors = file.try_clone().expect("a file handle can be copied");
-        let child = Command::new(&program)
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(file)
-            .stderr(errors)
-            .spawn()
+        let mut command = Command::new(&program);
+        command.args(args).stdin(Stdio::null()).stdout(file).stderr(errors);
+        let child = spawn(&mut command)
             .unwrap_or_else(|err| panic!("{} does not start: {err}", program.display()));
         Self { child, output }
     }
@@ -66,7 +75,8 @@
     /// Sends the signal `name`, for instance `TERM`, to the process.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let status = Command::new("kill").args([format!("-{name}"), pid]).status();
+        let child = spawn(Command::new("kill").args([format!("-{name}"), pid]));
+        let status = child.and_then(|mut child| child.wait());
         assert!(status.is_ok_and(|status| status.success()), "signal {name} can be sent");
     }
 
@@ -96,6 +106,12 @@
     }
 }
 
+/// Starts a child process, and returns when its program runs.
+fn spawn(command: &mut Command) -> std::io::Result<Child> {
+    let _guard = hold_starts();
+    command.spawn()
+}
+
 /// The path of a program of this workspace, next to the running test or program.
 fn program(name: &str) -> PathBuf {
     let here = std::env::current_exe().expect("the path of this program is known");
--- a/crates/poplartrail-stand/src/fleet/running.rs
+++ b/crates/poplartrail-stand/src/fleet/running.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     fs,
-    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    net::SocketAddr,
     path::{Path, PathBuf},
     sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
@@ -15,7 +15,7 @@
 use crate::{
     caller::{Call, Caller, Reply},
     certificates::Authority,
-    fleet::{FleetPlan, NodePlan, Process},
+    fleet::{FleetPlan, NodePlan, Process, free_address},
     log::Faults,
     upstream::{Behaviour, Counts},
 };
@@ -29,11 +29,6 @@
 /// Site of the stand-in fleets.
 const SITE: &str = "stand";
 
-/// Ports of the fleets.
-const PORTS: std::ops::Range<u32> = 10_000..32_000;
-/// Distance between the first ports of two test processes that follow each other.
-const PORTS_OF_PROCESS: u32 = 200;
-
 static FLEETS: AtomicU32 = AtomicU32::new(0);
 
 /// One node with its upstream.
@@ -71,24 +66,6 @@
     plan: FleetPlan,
 }
 
-/// A free TCP and UDP port on loopback.
-///
-/// It lies below the ports that the system gives to outgoing connections, one of which could
-/// take it before the process that it is meant for does.
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    for _ in PORTS {
-        let number = std::process::id().wrapping_mul(PORTS_OF_PROCESS)
-            + NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = PORTS.start + number % (PORTS.end - PORTS.start);
-        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port as u16));
-        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
-            return addr;
-        }
-    }
-    panic!("no port is free for both TCP and UDP");
-}
-
 impl Fleet {
     /// Starts the processes, publishes the base file, and waits until every node serves.
     pub async fn start(plan: FleetPlan) -> Self {
@@ -110,13 +87,13 @@
         let authority = Authority::new();
         let mut fleet =
             Self { nodes: Vec::new(), log, log_process, authority, dir, plan: plan.clone() };
-        fleet.await_port(log).await;
+        fleet.await_log().await;
         for node in &plan.nodes {
             fleet.add_node(node);
         }
-        fleet.publish("base", &plan.base, 0);
+        fleet.publish_first("base", &plan.base);
         if !plan.overlay.is_empty() {
-            fleet.publish(SITE, &plan.overlay, 0);
+            fleet.publish_first(SITE, &plan.overlay);
         }
         fleet.await_serving().await;
         fleet
@@ -193,6 +170,11 @@
         self.nodes[at].daemon = self.start_daemon(&vm, &settings);
     }
 
+    fn publish_first(&self, document: &str, text: &str) {
+        let (code, output) = self.publish(document, text, 0);
+        assert_eq!(code, 0, "{document} is not published: {output}");
+    }
+
     /// Publishes a document with the command-line tool and returns its exit code and output.
     pub fn publish(&self, document: &str, text: &str, made_against: u64) -> (i32, String) {
         let path = self.dir.join(format!("{document}-{made_against}.toml"));
@@ -342,15 +324,15 @@
         })
     }
 
-    async fn await_port(&self, addr: SocketAddr) {
+    async fn await_log(&self) {
         let end = Instant::now() + START_TIMEOUT;
         while Instant::now() < end {
-            if std::net::TcpStream::connect(addr).is_ok() {
+            if self.log_counts().await.is_object() {
                 return;
             }
             tokio::time::sleep(LOOK_PAUSE).await;
         }
-        panic!("nothing serves {addr}");
+        panic!("the log does not serve {}: {}", self.log, self.log_process.output());
     }
 }
 
