--- a/crates/poplartrail-core/src/gate/mod.rs
+++ b/crates/poplartrail-core/src/gate/mod.rs
@@ -11,6 +11,7 @@
 mod law;
 mod queue;
 mod shares;
+mod smooth;
 mod vegas;
 
 pub use aimd::Aimd;
