--- a/crates/poplartrail-core/src/call/share.rs
+++ b/crates/poplartrail-core/src/call/share.rs
@@ -19,7 +19,7 @@
 }
 
 /// Part of a share that is added for requests that have begun.
-const SLACK_PART: u32 = 2;
+const SLACK_PART: u32 = 6;
 
 /// Fraction of a rank's requests that a gate admits, in parts of 65 536.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -5,9 +5,7 @@
 use crate::{
     call::{Draw, Refusal, Share},
     engine::CallKey,
-    gate::{
-        Demand, Ending, Law, LimitLaw, Place, Sample, divide, queue::RankQueue, smooth::Smooth,
-    },
+    gate::{Demand, Ending, Law, LimitLaw, Place, Sample, divide, queue::RankQueue},
     policy::{RankIndex, Ranks},
     time::Time,
 };
@@ -23,9 +21,9 @@
 /// Waiting calls, as a fraction of the places, that keep the places filled.
 const TARGET_BACKLOG: f64 = 0.03;
 /// Weight of waiting calls in the error of the estimated capacity.
-const BACKLOG_ERROR: f64 = 0.2;
+const BACKLOG_ERROR: f64 = 0.3;
 /// Part of a rank's waiting calls that its share leaves to be drained in one interval.
-const BACKLOG_WEIGHT: f64 = 0.05;
+const BACKLOG_WEIGHT: f64 = 0.5;
 /// Largest growth of a rank's share from one interval to the next.
 const MAX_GROWTH: f64 = 2.0;
 /// Smallest fraction from which a share grows.
@@ -33,15 +31,7 @@
 /// Range of the correction of the estimated capacity.
 const GAIN: (f64, f64) = (0.5, 3.0);
 /// Change of the correction for each unit of error in use.
-const GAIN_STEP: f64 = 0.01;
-/// Error beyond which the correction changes faster.
-const LARGE_ERROR: f64 = 0.5;
-/// Further change of the correction for each unit beyond it.
-const LARGE_GAIN_STEP: f64 = 0.25;
-/// Ratio of quick to steady average from which a change of the hold time is believed.
-const HOLD_JUMP: f64 = 1.7;
-/// The same for the demand of a rank.
-const DEMAND_JUMP: f64 = 2.0;
+const GAIN_STEP: f64 = 0.25;
 
 /// A call that asks for a place.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -117,7 +107,7 @@
     arrived: u32,
     /// Calls that would have arrived if every gate had admitted everything.
     whole: f64,
-    rate: Smooth,
+    rate: f64,
     share: Share,
 }
 
@@ -130,7 +120,7 @@
     queue: RankQueue,
     in_flight: usize,
     next_turn: u64,
-    hold: Option<Smooth>,
+    hold: Option<f64>,
     gain: f64,
     use_sum: f64,
     use_at: Time,
@@ -143,12 +133,7 @@
 impl Gate {
     /// A gate with nothing in progress.
     pub fn new(options: GateOptions, ranks: &Ranks) -> Self {
-        let start = RankState {
-            arrived: 0,
-            whole: 0.0,
-            rate: Smooth::new(0.0, DEMAND_JUMP),
-            share: Share::FULL,
-        };
+        let start = RankState { arrived: 0, whole: 0.0, rate: 0.0, share: Share::FULL };
         Self {
             queue: RankQueue::new(ranks.len(), options.queue_len),
             worths: ranks.iter().map(|r| (r.worth, r.is_urgent)).collect(),
@@ -177,12 +162,7 @@
     ///
     /// Waiting calls keep their order; calls of ranks that are gone count as the least urgent.
     pub fn set_ranks(&mut self, ranks: &Ranks, queue_len: usize) {
-        let start = RankState {
-            arrived: 0,
-            whole: 0.0,
-            rate: Smooth::new(0.0, DEMAND_JUMP),
-            share: Share::FULL,
-        };
+        let start = RankState { arrived: 0, whole: 0.0, rate: 0.0, share: Share::FULL };
         self.options.queue_len = queue_len;
         self.worths = ranks.iter().map(|r| (r.worth, r.is_urgent)).collect();
         self.ranks = vec![start; ranks.len()];
@@ -216,7 +196,7 @@
 
     /// Average time that a call holds its place, in seconds.
     pub fn hold(&self) -> Option<Duration> {
-        self.hold.map(|hold| Duration::from_secs_f64(hold.value()))
+        self.hold.map(Duration::from_secs_f64)
     }
 
     /// Decides on a call that has arrived.
@@ -246,7 +226,7 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         if done.ending == Ending::Answered {
             let hold = done.hold.as_secs_f64();
-            self.note_hold(hold);
+            self.hold = Some(self.hold.map_or(hold, |old| old + HOLD_WEIGHT * (hold - old)));
         }
         if let Some(law) = &mut self.options.law {
             let sample = Sample {
@@ -321,14 +301,6 @@
         self.options.has_deadlines && offer.deadline < now + self.least_time()
     }
 
-    fn note_hold(&mut self, hold: f64) {
-        let known = self.hold.get_or_insert(Smooth::new(hold, HOLD_JUMP));
-        if known.add(hold, HOLD_WEIGHT) {
-            // What the correction has learned is of the time before.
-            self.gain = 1.0;
-        }
-    }
-
     fn note_use(&mut self, now: Time) {
         self.use_sum += self.in_flight as f64 * now.since(self.use_at).as_secs_f64();
         self.use_at = now;
@@ -378,15 +350,14 @@
 
     /// Calls a second that the upstream can take, from the limit and the time that a call holds.
     fn capacity(&mut self, length: f64) -> Option<f64> {
-        let hold = self.hold.map(|hold| hold.value()).filter(|hold| *hold > 0.0)?;
+        let hold = self.hold.filter(|hold| *hold > 0.0)?;
         let limit = self.options.law.as_ref().map_or(usize::MAX, Law::steady_limit) as f64;
         let used = self.use_sum / length / limit;
         let backlog = self.queue.len() as f64 / limit;
         let error = (1.0 - used) + TARGET_BACKLOG - backlog.min(1.0) * BACKLOG_ERROR;
         let is_limited = self.ranks.iter().any(|r| r.share < Share::FULL);
         if is_limited || error < 0.0 {
-            let step = GAIN_STEP + LARGE_GAIN_STEP * (error.abs() - LARGE_ERROR).max(0.0);
-            self.gain = (self.gain * (1.0 + step * error)).clamp(GAIN.0, GAIN.1);
+            self.gain = (self.gain * (1.0 + GAIN_STEP * error)).clamp(GAIN.0, GAIN.1);
         } else {
             self.gain += (1.0 - self.gain) * GAIN_STEP;
         }
@@ -406,7 +377,7 @@
             .map(|(rank, (state, &(worth, is_urgent)))| {
                 let waiting = self.queue.len_of(RankIndex(rank as u8)) as f64;
                 let backlog = BACKLOG_WEIGHT * waiting / length;
-                Demand { rate: state.rate.value(), backlog, worth, is_urgent }
+                Demand { rate: state.rate, backlog, worth, is_urgent }
             })
             .collect();
         let shares = divide(capacity, &demands);
@@ -435,7 +406,7 @@
     fn update_rate(&mut self, length: f64) {
         // Few calls tell little, so their interval counts for little.
         let weight = (f64::from(self.arrived) / DEMAND_CALLS).clamp(DEMAND_MIN_WEIGHT, 1.0);
-        self.rate.add(self.whole / length, DEMAND_WEIGHT * weight);
+        self.rate += DEMAND_WEIGHT * weight * (self.whole / length - self.rate);
     }
 
     fn move_share(&mut self, target: Share) {
--- a/crates/poplartrail-core/src/gate/mod.rs
+++ b/crates/poplartrail-core/src/gate/mod.rs
@@ -11,7 +11,6 @@
 mod law;
 mod queue;
 mod shares;
-mod smooth;
 mod vegas;
 
 pub use aimd::Aimd;
