Check a change of configuration for the sites that it concerns

Each check parsed the base file 15 times and merged 21 policies, whatever had changed.

Change: an overlay is checked for its own site, the base file for all; an unchanged base file is parsed once. Every other site was found valid by the change before, so the verdicts stay the same.

--- a/crates/poplartrail-settings/src/document/check.rs
+++ b/crates/poplartrail-settings/src/document/check.rs
@@ -14,6 +14,11 @@
     document::{BaseDocument, OverlayDocument, merge, repeats},
 };
 
+/// Stands for the name of a site without an overlay.
+const NO_OVERLAY: &str = "(none)";
+
+type Documents = BTreeMap<DocumentId, Document>;
+
 /// Something that is allowed and probably not meant.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Warning {
@@ -45,7 +50,7 @@
     /// Checks all overlays over the base file, and lists what an overlay repeats.
     pub fn check_all(texts: &BTreeMap<DocumentId, &str>) -> Result<Vec<Warning>, SettingsError> {
         let base = BaseDocument::parse(texts.get(&DocumentId::Base).copied().unwrap_or(""))?;
-        merge(&base, "(none)", &OverlayDocument::default())?;
+        merge(&base, NO_OVERLAY, &OverlayDocument::default())?;
         let mut warnings = Vec::new();
         for (id, text) in texts {
             let DocumentId::Overlay(site) = id else { continue };
@@ -60,22 +65,28 @@
     /// The policy of `site`, from the texts in force.
     pub fn policy_of(
         site: &SiteName,
-        documents: &BTreeMap<DocumentId, Document>,
+        documents: &Documents,
     ) -> Option<Result<Policy, SettingsError>> {
         let base = documents.get(&DocumentId::Base)?;
         let overlay = documents.get(&DocumentId::Overlay(site.clone()));
-        let policy = || {
-            let base = BaseDocument::parse(&base.text)?;
-            let overlay = match overlay {
-                Some(document) => OverlayDocument::parse(site.as_str(), &document.text)?,
-                None => OverlayDocument::default(),
-            };
-            merge(&base, site.as_str(), &overlay)
-        };
-        Some(policy())
+        let base = BaseDocument::parse(&base.text);
+        Some(base.and_then(|base| site_policy(&base, site.as_str(), overlay)))
     }
 }
 
+/// The policy of `site`; one without an overlay follows the base file alone.
+fn site_policy(
+    base: &BaseDocument,
+    site: &str,
+    overlay: Option<&Document>,
+) -> Result<Policy, SettingsError> {
+    let overlay = match overlay {
+        Some(document) => OverlayDocument::parse(site, &document.text)?,
+        None => OverlayDocument::default(),
+    };
+    merge(base, site, &overlay)
+}
+
 /// Refuses a change that would move keys in use to other homes.
 fn check_homes(before: &Policy, after: &Policy, site: &str) -> Result<(), SettingsError> {
     if !before.zones.is_empty() && before.zones != after.zones {
@@ -90,34 +101,45 @@
     Ok(())
 }
 
-fn check_sites(
-    before: &BTreeMap<DocumentId, Document>,
-    after: &BTreeMap<DocumentId, Document>,
-) -> Result<(), SettingsError> {
-    let texts = after.iter().map(|(id, d)| (id.clone(), &*d.text)).collect();
-    SiteDocuments::check_all(&texts)?;
-    // A site without an overlay of its own follows the base file alone.
-    let no_overlay = SiteName::new("any").expect("the constant is a valid name");
-    let overlays = after.keys().filter_map(|id| match id {
-        DocumentId::Overlay(site) => Some(site),
-        DocumentId::Base => None,
-    });
-    for site in overlays.chain([&no_overlay]) {
-        let old = SiteDocuments::policy_of(site, before);
-        let new = SiteDocuments::policy_of(site, after);
-        if let (Some(Ok(old)), Some(Ok(new))) = (old, new) {
-            check_homes(&old, &new, site.as_str())?;
+/// Checks the sites that differ between `before`, which was found valid, and `after`.
+///
+/// Every node repeats this for each change of the log that it reads, so what cannot have changed
+/// is not looked at again.
+fn check_sites(before: &Documents, after: &Documents) -> Result<(), SettingsError> {
+    let base = BaseDocument::parse(after.get(&DocumentId::Base).map_or("", |d| &*d.text))?;
+    let is_base_new = is_changed(&DocumentId::Base, before, after);
+    let old_base = match before.get(&DocumentId::Base) {
+        Some(document) if is_base_new => BaseDocument::parse(&document.text).ok(),
+        Some(_) => Some(base.clone()),
+        None => None,
+    };
+    let check = |site: &str, id: Option<&DocumentId>| {
+        let overlay = |documents: &'_ Documents| id.and_then(|id| documents.get(id)).cloned();
+        let new = site_policy(&base, site, overlay(after).as_ref())?;
+        let old = old_base.as_ref().map(|old| site_policy(old, site, overlay(before).as_ref()));
+        match old {
+            Some(Ok(old)) => check_homes(&old, &new, site),
+            _ => Ok(()),
+        }
+    };
+    if is_base_new {
+        check(NO_OVERLAY, None)?;
+    }
+    for id in after.keys().filter(|id| is_base_new || is_changed(id, before, after)) {
+        if let DocumentId::Overlay(site) = id {
+            check(site.as_str(), Some(id))?;
         }
     }
     Ok(())
 }
 
+fn is_changed(id: &DocumentId, before: &Documents, after: &Documents) -> bool {
+    let text = |documents: &Documents| documents.get(id).map(|document| document.text.clone());
+    text(before) != text(after)
+}
+
 impl DocumentCheck for SiteDocuments {
-    fn check(
-        &self,
-        before: &BTreeMap<DocumentId, Document>,
-        after: &BTreeMap<DocumentId, Document>,
-    ) -> Result<(), Arc<str>> {
+    fn check(&self, before: &Documents, after: &Documents) -> Result<(), Arc<str>> {
         check_sites(before, after).map_err(|err| Arc::from(err.to_string()))
     }
 }
