Ask few nodes at once from the tool

With 7,900 nodes that is beyond what a process may have open (often 1,024), and a node whose connection could not be opened was shown as out of reach, which is not true. All pages were held until the last had come, against what CAPACITY says of memory.

Ruled out: only bounding the requests under way. The test then still saw 300 connections, the idle ones, because each node is another host to the connection pool.

Test: many_nodes, 300 announced nodes on addresses of their own: 300 connections at once before, at most 128 seen by the server now (64, each beside the one that is closing).

--- a/crates/poplartrail-cli/src/commands/publish.rs
+++ b/crates/poplartrail-cli/src/commands/publish.rs
@@ -143,11 +143,13 @@
 /// Nodes that have an older configuration or do not answer.
 async fn behind(reader: &mut FleetReader, version: u64) -> Result<Vec<String>, LogError> {
     let members = reader.members().await?;
-    let pages = pages(&members, "/status").await;
-    let has_it = |page: &Option<String>| {
-        let status = page.as_ref().and_then(|page| serde_json::from_str::<Value>(page).ok());
-        status.is_some_and(|status| status["config"].as_u64() >= Some(version))
-    };
-    let behind = pages.iter().filter(|(_, page)| !has_it(page));
-    Ok(behind.map(|(member, _)| member.vm.to_string()).collect())
+    let mut behind = Vec::new();
+    pages(&members, "/status", |member, page| {
+        let status = page.and_then(|page| serde_json::from_str::<Value>(&page).ok());
+        if status.is_none_or(|status| status["config"].as_u64() < Some(version)) {
+            behind.push(member.vm.to_string());
+        }
+    })
+    .await;
+    Ok(behind)
 }
--- a/crates/poplartrail-cli/src/commands/status.rs
+++ b/crates/poplartrail-cli/src/commands/status.rs
@@ -14,7 +14,7 @@
         Err(err) => return out_of_reach(&err),
     };
     let mut has_all = true;
-    for (member, page) in pages(&members, "/status").await {
+    pages(&members, "/status", |member, page| {
         let status = page.and_then(|page| serde_json::from_str::<Value>(&page).ok());
         has_all &= status.is_some();
         let line = match (&status, options.json) {
@@ -24,7 +24,8 @@
             (None, false) => format!("{} out of reach", member.vm),
         };
         println!("{line}");
-    }
+    })
+    .await;
     if has_all { Exit::Done } else { Exit::Unknown }
 }
 
--- a/crates/poplartrail-cli/src/commands/timeline.rs
+++ b/crates/poplartrail-cli/src/commands/timeline.rs
@@ -14,18 +14,20 @@
         Ok(members) => members,
         Err(err) => return out_of_reach(&err),
     };
+    let is_asked = |vm: &str| options.node.as_deref().is_none_or(|node| node == vm);
+    let asked: Vec<_> = members.into_iter().filter(|m| is_asked(m.vm.as_str())).collect();
     let mut events = Vec::new();
     let mut has_all = true;
-    for (member, page) in pages(&members, "/events").await {
-        match page {
-            Some(page) => events.extend(page.lines().filter_map(parse)),
-            None => {
-                has_all = false;
-                eprintln!("poplartrail: {} is out of reach, its events are missing", member.vm);
-            }
+    pages(&asked, "/events", |member, page| match page {
+        Some(page) => {
+            events.extend(page.lines().filter_map(parse).filter(|event| passes(options, event)));
         }
-    }
-    events.retain(|event| passes(options, event));
+        None => {
+            has_all = false;
+            eprintln!("poplartrail: {} is out of reach, its events are missing", member.vm);
+        }
+    })
+    .await;
     events.sort_by_key(order);
     for event in &events {
         println!("{}", if options.fleet.json { event.to_string() } else { line(event) });
@@ -41,10 +43,7 @@
     let is = |wanted: &Option<String>, field: &str| {
         wanted.as_deref().is_none_or(|wanted| event[field].as_str() == Some(wanted))
     };
-    is(&options.request, "request")
-        && is(&options.node, "vm")
-        && is(&options.rank, "rank")
-        && is(&options.kind, "kind")
+    is(&options.request, "request") && is(&options.rank, "rank") && is(&options.kind, "kind")
 }
 
 /// By time; events of one node keep their own order whatever its clock does.
--- a/crates/poplartrail-cli/src/fleet.rs
+++ b/crates/poplartrail-cli/src/fleet.rs
@@ -1,6 +1,6 @@
 //! What the platform log and the nodes say.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use poplartrail_core::{
     config::History,
@@ -11,11 +11,16 @@
 };
 use poplartrail_http::{LogClient, LogError, WholeClient, client, get};
 use poplartrail_settings::document::{BaseDocument, SiteDocuments};
+use tokio::sync::Semaphore;
 
 /// Time after which a request to the log counts as unanswered.
 const LOG_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after which a node counts as out of reach.
 const NODE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Nodes that are asked for a page at once.
+const PAGES_AT_ONCE: usize = 64;
+/// Idle connections to a node, each of which is asked once.
+const MAX_IDLE: usize = 0;
 /// Largest page of a node.
 const MAX_PAGE: usize = 64 << 20;
 
@@ -111,27 +116,32 @@
     }
 }
 
-/// Reads the page `path` of each member; `None` for one that is out of reach.
-pub(crate) async fn pages(members: &[Member], path: &str) -> Vec<(Member, Option<String>)> {
-    let Ok(client) = client(1) else { return Vec::new() };
-    let client = std::sync::Arc::new(client);
-    let mut tasks = Vec::new();
-    for member in members {
-        let (client, member, path) = (client.clone(), member.clone(), path.to_owned());
-        tasks.push(tokio::spawn(async move {
-            let page = page(&client, &member, &path).await;
-            (member, page)
-        }));
-    }
-    let mut pages = Vec::new();
-    for task in tasks {
-        pages.extend(task.await.ok());
+/// Reads the page `path` of each member and hands it over; `None` for one that is out of reach.
+///
+/// Few are asked at once, so a large fleet takes neither all connections that the tool may open
+/// nor the memory for all pages.
+pub(crate) async fn pages(
+    members: &[Member],
+    path: &'static str,
+    mut take: impl FnMut(&Member, Option<String>),
+) {
+    let Ok(client) = client(MAX_IDLE) else { return };
+    let (client, turns) = (Arc::new(client), Arc::new(Semaphore::new(PAGES_AT_ONCE)));
+    let ask = |member: &Member| {
+        let (client, turns, addr) = (client.clone(), turns.clone(), member.report);
+        tokio::spawn(async move {
+            let _turn = turns.acquire().await.ok()?;
+            page(&client, addr, path).await
+        })
+    };
+    let tasks: Vec<_> = members.iter().map(ask).collect();
+    for (member, task) in members.iter().zip(tasks) {
+        take(member, task.await.ok().flatten());
     }
-    pages
 }
 
-async fn page(client: &WholeClient, member: &Member, path: &str) -> Option<String> {
-    let page = get(client, member.report, path, MAX_PAGE);
+async fn page(client: &WholeClient, addr: SocketAddr, path: &str) -> Option<String> {
+    let page = get(client, addr, path, MAX_PAGE);
     let page = tokio::time::timeout(NODE_TIMEOUT, page).await.ok().flatten()?;
     String::from_utf8(page.to_vec()).ok()
 }
--- /dev/null
+++ b/crates/poplartrail-node/tests/many_nodes.rs
@@ -0,0 +1,97 @@
+//! The tool with more nodes than it may have connections to at once.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::atomic::{AtomicUsize, Ordering},
+    thread,
+    time::Duration,
+};
+
+use poplartrail_core::{
+    engine::StreamId,
+    keys::LeaseTerms,
+    member::{Member, MemberRecord, MemberState},
+    names::{ServiceName, VmName, ZoneName},
+    time::Time,
+};
+use poplartrail_http::LogClient;
+use poplartrail_stand::fleet::{Fleet, FleetPlan, NodePlan};
+use poplartrail_wire::member::encode_member_record;
+
+/// Nodes that are announced and answer with the same page.
+const NODES: usize = 300;
+/// Nodes that the tool asks at once.
+const ASKED_AT_ONCE: usize = 64;
+/// Time for which a page takes its connection.
+const PAGE_TIME: Duration = Duration::from_millis(20);
+const PAGE: &str = "{\"vm\":\"announced\",\"phase\":\"serving\"}";
+
+static OPEN: AtomicUsize = AtomicUsize::new(0);
+static MOST_OPEN: AtomicUsize = AtomicUsize::new(0);
+
+/// Answers until the other end closes the connection.
+fn answer(mut stream: TcpStream) {
+    MOST_OPEN.fetch_max(OPEN.fetch_add(1, Ordering::SeqCst) + 1, Ordering::SeqCst);
+    while stream.read(&mut [0; 1024]).is_ok_and(|len| len > 0) {
+        thread::sleep(PAGE_TIME);
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", PAGE.len());
+        if stream.write_all((head + PAGE).as_bytes()).is_err() {
+            break;
+        }
+    }
+    OPEN.fetch_sub(1, Ordering::SeqCst);
+}
+
+/// Serves the page on every address of loopback, and returns the port.
+fn serve_pages() -> u16 {
+    let listener = TcpListener::bind("0.0.0.0:0").expect("a port is free");
+    let port = listener.local_addr().expect("the socket is bound").port();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || answer(stream));
+        }
+    });
+    port
+}
+
+async fn announce(log: &LogClient, number: usize, port: u16) {
+    // Each node has an address of its own.
+    let [.., high, low] = (number as u32).to_be_bytes();
+    let report = SocketAddr::from(([127, 1, high, low], port));
+    let service = ServiceName::new("front").unwrap();
+    let record = MemberRecord {
+        member: Member {
+            vm: VmName::new(format!("announced-{number}")).unwrap(),
+            incarnation: 1,
+            service: service.clone(),
+            zone: ZoneName::new("zone-b").unwrap(),
+            addr: report,
+            report,
+        },
+        state: MemberState::Draining,
+        terms: LeaseTerms { term: Duration::from_secs(600), skew: Duration::ZERO },
+        sent: Time::ZERO,
+        slots: Vec::new(),
+    };
+    let body = encode_member_record(&record);
+    log.append(&StreamId::Members(service), body).await.expect("the log takes the record");
+}
+
+#[tokio::test]
+async fn status_asks_few_at_once() {
+    let plan = FleetPlan::new(include_str!("bases/chain.toml"))
+        .node(NodePlan::new("front-a1", "front", "zone-a"));
+    let fleet = Fleet::start(plan).await;
+    let port = serve_pages();
+    let log = LogClient::new(fleet.log, Duration::from_secs(5)).unwrap();
+    for number in 0..NODES {
+        announce(&log, number, port).await;
+    }
+    let args = ["status", "--json", "--log", &fleet.log.to_string()].map(str::to_owned);
+    let (code, text) = fleet.tool(&args);
+    assert_eq!((code, text.lines().count()), (0, NODES + 1), "{text}");
+    // The server may see each beside the one before it, whose end has not reached it yet.
+    let most = MOST_OPEN.load(Ordering::SeqCst);
+    assert!(most <= 2 * ASKED_AT_ONCE, "{most} connections at once");
+}
