Say the check of changed sites more simply

Read as a newcomer: the closure that cloned overlays is a loop now, and the base file stands for the sites that follow it alone. changed_sites has one more case, an overlay without a base file, which is refused as before.

--- a/crates/poplartrail-settings/src/document/check.rs
+++ b/crates/poplartrail-settings/src/document/check.rs
@@ -17,6 +17,7 @@
 /// Stands for the name of a site without an overlay.
 const NO_OVERLAY: &str = "(none)";
 
+/// The documents in force, by their names.
 type Documents = BTreeMap<DocumentId, Document>;
 
 /// Something that is allowed and probably not meant.
@@ -65,11 +66,10 @@
     /// The policy of `site`, from the texts in force.
     pub fn policy_of(
         site: &SiteName,
-        documents: &Documents,
+        documents: &BTreeMap<DocumentId, Document>,
     ) -> Option<Result<Policy, SettingsError>> {
-        let base = documents.get(&DocumentId::Base)?;
         let overlay = documents.get(&DocumentId::Overlay(site.clone()));
-        let base = BaseDocument::parse(&base.text);
+        let base = BaseDocument::parse(text_of(documents, &DocumentId::Base)?);
         Some(base.and_then(|base| site_policy(&base, site.as_str(), overlay)))
     }
 }
@@ -106,36 +106,38 @@
 /// Every node repeats this for each change of the log that it reads, so what cannot have changed
 /// is not looked at again.
 fn check_sites(before: &Documents, after: &Documents) -> Result<(), SettingsError> {
-    let base = BaseDocument::parse(after.get(&DocumentId::Base).map_or("", |d| &*d.text))?;
+    let base = BaseDocument::parse(text_of(after, &DocumentId::Base).unwrap_or(""))?;
     let is_base_new = is_changed(&DocumentId::Base, before, after);
-    let old_base = match before.get(&DocumentId::Base) {
-        Some(document) if is_base_new => BaseDocument::parse(&document.text).ok(),
+    let old_base = match text_of(before, &DocumentId::Base) {
+        Some(text) if is_base_new => BaseDocument::parse(text).ok(),
         Some(_) => Some(base.clone()),
         None => None,
     };
-    let check = |site: &str, id: Option<&DocumentId>| {
-        let overlay = |documents: &'_ Documents| id.and_then(|id| documents.get(id)).cloned();
-        let new = site_policy(&base, site, overlay(after).as_ref())?;
-        let old = old_base.as_ref().map(|old| site_policy(old, site, overlay(before).as_ref()));
-        match old {
-            Some(Ok(old)) => check_homes(&old, &new, site),
-            _ => Ok(()),
-        }
-    };
-    if is_base_new {
-        check(NO_OVERLAY, None)?;
-    }
     for id in after.keys().filter(|id| is_base_new || is_changed(id, before, after)) {
-        if let DocumentId::Overlay(site) = id {
-            check(site.as_str(), Some(id))?;
+        // The base file is itself what a site without an overlay follows.
+        let site = match id {
+            DocumentId::Base => NO_OVERLAY,
+            DocumentId::Overlay(site) => site.as_str(),
+        };
+        let new = site_policy(&base, site, overlay_of(after, id))?;
+        let old = old_base.as_ref().map(|old| site_policy(old, site, overlay_of(before, id)));
+        if let Some(Ok(old)) = old {
+            check_homes(&old, &new, site)?;
         }
     }
     Ok(())
 }
 
+fn overlay_of<'a>(documents: &'a Documents, id: &DocumentId) -> Option<&'a Document> {
+    documents.get(id).filter(|_| *id != DocumentId::Base)
+}
+
+fn text_of<'a>(documents: &'a Documents, id: &DocumentId) -> Option<&'a str> {
+    documents.get(id).map(|document| &*document.text)
+}
+
 fn is_changed(id: &DocumentId, before: &Documents, after: &Documents) -> bool {
-    let text = |documents: &Documents| documents.get(id).map(|document| document.text.clone());
-    text(before) != text(after)
+    text_of(before, id) != text_of(after, id)
 }
 
 impl DocumentCheck for SiteDocuments {
--- a/crates/poplartrail-settings/tests/changed_sites.rs
+++ b/crates/poplartrail-settings/tests/changed_sites.rs
@@ -66,3 +66,11 @@
     let moved = with(&before, DocumentId::Base, &slots);
     assert!(check(&before, &moved).is_err_and(|err| err.contains("key_slots")));
 }
+
+#[test]
+fn overlay_needs_a_base() {
+    let nothing = BTreeMap::new();
+    for text in ["", "zones = [\"a\"]\n"] {
+        assert!(check(&nothing, &with(&nothing, overlay_of("south"), text)).is_err(), "{text:?}");
+    }
+}
