--- a/crates/poplartrail-cli/src/fleet.rs
+++ b/crates/poplartrail-cli/src/fleet.rs
@@ -125,7 +125,9 @@
     path: &'static str,
     mut take: impl FnMut(&Member, Option<String>),
 ) {
-    let Ok(client) = client(MAX_IDLE) else { return };
+    let Ok(client) = client(MAX_IDLE) else {
+        return members.iter().for_each(|member| take(member, None));
+    };
     let (client, turns) = (Arc::new(client), Arc::new(Semaphore::new(PAGES_AT_ONCE)));
     let ask = |member: &Member| {
         let (client, turns, addr) = (client.clone(), turns.clone(), member.report);
