Start the demo from the build folder in use

With CARGO_TARGET_DIR set the script built there and looked for the program in target (exit 127). It starts it from the folder that cargo uses now: passed in a fresh clone with the variable set.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cargo build --release --workspace --bins
-exec target/release/demo
+exec "${CARGO_TARGET_DIR:-target}/release/demo"
