--- a/crates/poplartrail-cli/src/fleet.rs
+++ b/crates/poplartrail-cli/src/fleet.rs
@@ -30,6 +30,7 @@
     pub(crate) history: History,
     pub(crate) log_now: WallTime,
     check: SiteDocuments,
+    rosters: BTreeMap<ServiceName, Roster>,
 }
 
 impl FleetReader {
@@ -41,6 +42,7 @@
             history: History::new(),
             log_now: WallTime::default(),
             check: SiteDocuments::new(site),
+            rosters: BTreeMap::new(),
         })
     }
 
@@ -78,13 +80,17 @@
         parts.iter().filter_map(|part| ServiceName::new(&part.name).ok()).collect()
     }
 
-    /// All members that the log announces and that have not gone.
+    /// All members that the log announces and that have not gone; reads on from the last call.
     pub(crate) async fn members(&mut self) -> Result<Vec<Member>, LogError> {
         self.read_config().await?;
-        let mut rosters: BTreeMap<ServiceName, Roster> =
-            self.services().into_iter().map(|name| (name, Roster::default())).collect();
+        let services = self.services();
+        self.rosters.retain(|name, _| services.contains(name));
+        for name in services {
+            self.rosters.entry(name).or_default();
+        }
         loop {
-            let cursors: Vec<(StreamId, u64)> = rosters
+            let cursors: Vec<(StreamId, u64)> = self
+                .rosters
                 .iter()
                 .map(|(name, roster)| (StreamId::Members(name.clone()), roster.next_offset()))
                 .collect();
@@ -95,7 +101,7 @@
             let mut has_more = false;
             for batch in pages.batches {
                 let LogBatch::Members { service, oldest, records } = batch else { continue };
-                let Some(roster) = rosters.get_mut(&service) else { continue };
+                let Some(roster) = self.rosters.get_mut(&service) else { continue };
                 roster.note_oldest(oldest.0, oldest.1);
                 for record in &records {
                     has_more |= roster.apply(record.offset, record.at, &record.body);
@@ -107,7 +113,7 @@
             }
         }
         let mut members: Vec<Member> = Vec::new();
-        for roster in rosters.values_mut() {
+        for roster in self.rosters.values_mut() {
             drop(roster.take_expired());
             members.extend(roster.iter().map(|entry| entry.member.clone()));
         }
--- a/crates/poplartrail-settings/src/document/check.rs
+++ b/crates/poplartrail-settings/src/document/check.rs
@@ -108,11 +108,9 @@
 fn check_sites(before: &Documents, after: &Documents) -> Result<(), SettingsError> {
     let base = BaseDocument::parse(text_of(after, &DocumentId::Base).unwrap_or(""))?;
     let is_base_new = is_changed(&DocumentId::Base, before, after);
-    let old_base = match text_of(before, &DocumentId::Base) {
-        Some(text) if is_base_new => BaseDocument::parse(text).ok(),
-        Some(_) => Some(base.clone()),
-        None => None,
-    };
+    let replaced = text_of(before, &DocumentId::Base).filter(|_| is_base_new);
+    let replaced = replaced.and_then(|text| BaseDocument::parse(text).ok());
+    let old_base = if is_base_new { replaced.as_ref() } else { Some(&base) };
     for id in after.keys().filter(|id| is_base_new || is_changed(id, before, after)) {
         // The base file is itself what a site without an overlay follows.
         let site = match id {
@@ -120,7 +118,7 @@
             DocumentId::Overlay(site) => site.as_str(),
         };
         let new = site_policy(&base, site, overlay_of(after, id))?;
-        let old = old_base.as_ref().map(|old| site_policy(old, site, overlay_of(before, id)));
+        let old = old_base.map(|old| site_policy(old, site, overlay_of(before, id)));
         if let Some(Ok(old)) = old {
             check_homes(&old, &new, site)?;
         }
