Stop in three steps, bound the wait at the gate by the target, take longer to call a peer silent

Now: draining (everything served), closing (new requests refused as not run), end (what is left is answered). A gate takes a call only if its expected wait is within the target of its rank; ranks are ordered by priority and target. Silence between nodes counts from 500 ms on a hosted node.

--- a/crates/poplartrail-core/src/engine/arrivals.rs
+++ b/crates/poplartrail-core/src/engine/arrivals.rs
@@ -246,7 +246,7 @@
         if may_have_run {
             return Outcome::Unknown(call.doubt(Doubt::HomeUnreachable));
         }
-        Outcome::NotRun(call.refuse(reason, wait_after(reason), self.me.vm.clone()))
+        Outcome::NotRun(call.refuse(reason, self.wait_after(reason), self.me.vm.clone()))
     }
 
     /// Decides on a call for the own upstream.
@@ -266,13 +266,13 @@
     fn come_in_idempotent(&mut self, cx: &mut Cx<'_>, key: CallKey, call: Call<Arrived>) {
         let blocked = match cx.life {
             Life::Starting(_) => Some(Refusal::Starting),
-            Life::Draining(_) => Some(Refusal::Draining),
+            Life::Draining(_) | Life::Closing(_) => Some(Refusal::Draining),
             Life::Serving(_) if cx.now < self.upstream_down_until => Some(Refusal::Unsent),
             Life::Serving(_) => self.upstream_closed,
         };
         match blocked {
             Some(reason) if self.live[key].is_routed() => {
-                self.move_on(cx, key, call, reason, wait_after(reason), self.me.vm.clone());
+                self.move_on(cx, key, call, reason, self.wait_after(reason), self.me.vm.clone());
             }
             Some(_) if self.live[key].is_entry() => {
                 self.send_out(cx, key, call, None);
@@ -351,7 +351,7 @@
     ) {
         let refusal = match cx.life {
             Life::Starting(_) => Some(Refusal::Starting),
-            Life::Draining(_) => Some(Refusal::Draining),
+            Life::Draining(_) | Life::Closing(_) => Some(Refusal::Draining),
             Life::Serving(_) if !self.ledger.has_room() => Some(Refusal::LedgerFull),
             Life::Serving(_) => None,
         };
@@ -393,6 +393,7 @@
             deadline: call.context().deadline,
             is_begun: !begins_here,
             passed,
+            longest_wait: self.is_site_ruled.then(|| self.policy.ranks.get(rank).target),
         };
         self.live[key].stage = Stage::Waiting(call);
         let mut steps = Vec::new();
@@ -416,7 +417,21 @@
     }
 
     pub(crate) fn refuse(&self, call: Call<Arrived>, reason: Refusal) -> NotRun {
-        call.refuse(reason, wait_after(reason), self.me.vm.clone())
+        call.refuse(reason, self.wait_after(reason), self.me.vm.clone())
+    }
+
+    /// How long a caller should wait after a refusal.
+    ///
+    /// A gate that knows its places names the time until what waits now has been served, so that
+    /// callers come back when there is room for them.
+    pub(crate) fn wait_after(&self, reason: Refusal) -> Option<Duration> {
+        match reason {
+            Refusal::Overload | Refusal::QueueFull | Refusal::TooLate if self.is_site_ruled => {
+                let last = RankIndex(self.policy.ranks.len() as u8 - 1);
+                Some(self.gate.expected_wait(last).clamp(SHORT_WAIT, OVERLOAD_WAIT))
+            }
+            reason => wait_after(reason),
+        }
     }
 
     /// Notes that nobody waits for `ticket` any longer.
--- a/crates/poplartrail-core/src/engine/ending.rs
+++ b/crates/poplartrail-core/src/engine/ending.rs
@@ -167,6 +167,15 @@
         self.finish_lost(cx, key, outcome);
     }
 
+    /// Ends every call, because the process is about to end.
+    pub(crate) fn end_all(&mut self, cx: &mut Cx<'_>) {
+        self.leave_queue(cx);
+        let keys: Vec<CallKey> = self.live.keys().collect();
+        for key in keys {
+            self.abandon(cx, key, Doubt::AnswerLost);
+        }
+    }
+
     /// Lets a call run on to its deadline although nobody waits for its answer.
     fn let_run(&mut self, key: CallKey) {
         if let Some(ticket) = self.live[key].ticket.take() {
--- a/crates/poplartrail-core/src/engine/input.rs
+++ b/crates/poplartrail-core/src/engine/input.rs
@@ -249,4 +249,8 @@
     Wake,
     /// The node is to stop.
     Leave,
+    /// Callers have had the time to leave a node that is to stop; it refuses the others.
+    Close,
+    /// The process is about to end: whatever is in progress gets its answer now.
+    End,
 }
--- a/crates/poplartrail-core/src/engine/mod.rs
+++ b/crates/poplartrail-core/src/engine/mod.rs
@@ -37,5 +37,5 @@
 pub use node::{Node, NodeOptions, PolicySource};
 pub use output::Output;
 pub use peer_call::PeerCall;
-pub use phase::{Draining, Life, Phase, Serving, Starting};
+pub use phase::{Closing, Draining, Life, Phase, Serving, Starting};
 pub use view::{InstanceView, NodeView, RankView};
--- a/crates/poplartrail-core/src/engine/node.rs
+++ b/crates/poplartrail-core/src/engine/node.rs
@@ -122,6 +122,8 @@
             Input::PeerMembers(members) => self.hear_members(now, &members),
             Input::Wake => self.wake(now, wall, out),
             Input::Leave => self.leave(now, wall, out),
+            Input::Close => self.close(out),
+            Input::End => self.with_calls(now, wall, out, |calls, cx| calls.end_all(cx)),
         }
         self.follow_called(out);
         self.say_if_left(out);
@@ -288,7 +290,7 @@
             Life::Serving(_) => {
                 self.keeper.wake(now, &policy, self.calls.latest_accepted, out);
             }
-            Life::Draining(_) => {}
+            Life::Draining(_) | Life::Closing(_) => {}
         }
     }
 
@@ -417,8 +419,10 @@
 
     /// Gives the key slots up once nothing is in progress.
     fn say_if_left(&mut self, out: &mut Vec<Output>) {
-        let Life::Draining(_) = self.life else { return };
-        if self.has_left || !self.calls.is_empty() {
+        // The callers on the VM of a hosted node go on sending until they have noticed.
+        let may_end =
+            if self.hosted.is_some() { self.life.is_closing() } else { self.life.is_draining() };
+        if !may_end || self.has_left || !self.calls.is_empty() {
             return;
         }
         self.has_left = true;
--- a/crates/poplartrail-core/src/engine/phase.rs
+++ b/crates/poplartrail-core/src/engine/phase.rs
@@ -16,6 +16,10 @@
     since: Time,
 }
 
+/// The node takes no request any longer, not even from its own callers.
+#[derive(Debug, Clone, Copy)]
+pub struct Closing(());
+
 /// A node in the phase `S`. Phases only move forward.
 #[derive(Debug, Clone, Copy)]
 pub struct Phase<S>(S);
@@ -49,6 +53,11 @@
     pub fn since(&self) -> Time {
         self.0.since
     }
+
+    /// Callers have had the time to go elsewhere.
+    pub fn close(self) -> Phase<Closing> {
+        Phase(Closing(()))
+    }
 }
 
 /// The present phase of a node.
@@ -60,6 +69,8 @@
     Serving(Phase<Serving>),
     /// Finishes what it has.
     Draining(Phase<Draining>),
+    /// Finishes what it has and refuses whatever comes.
+    Closing(Phase<Closing>),
 }
 
 impl Life {
@@ -75,13 +86,25 @@
         match *self {
             Life::Starting(phase) => *self = Life::Draining(phase.drain(now)),
             Life::Serving(phase) => *self = Life::Draining(phase.drain(now)),
-            Life::Draining(_) => {}
+            Life::Draining(_) | Life::Closing(_) => {}
         }
     }
 
+    /// Moves a draining node to closing.
+    pub fn close(&mut self) {
+        if let Life::Draining(phase) = *self {
+            *self = Life::Closing(phase.close());
+        }
+    }
+
+    /// Whether the node refuses requests of its own callers too.
+    pub fn is_closing(&self) -> bool {
+        matches!(self, Life::Closing(_))
+    }
+
     /// Whether the node is draining.
     pub fn is_draining(&self) -> bool {
-        matches!(self, Life::Draining(_))
+        matches!(self, Life::Draining(_) | Life::Closing(_))
     }
 
     /// A word for status pages.
@@ -90,6 +113,7 @@
             Life::Starting(_) => "starting",
             Life::Serving(_) => "serving",
             Life::Draining(_) => "draining",
+            Life::Closing(_) => "closing",
         }
     }
 }
--- a/crates/poplartrail-core/src/engine/returns.rs
+++ b/crates/poplartrail-core/src/engine/returns.rs
@@ -46,7 +46,8 @@
         }
         if self.live[key].is_routed() {
             let call = call.give_up_place();
-            return self.move_on(cx, key, call, reason, wait_after(reason), self.me.vm.clone());
+            let wait = self.wait_after(reason);
+            return self.move_on(cx, key, call, reason, wait, self.me.vm.clone());
         }
         let is_entry = self.live[key].is_entry();
         let may_move = is_entry && reason.is_elsewhere() && call.context().effect.key().is_none();
@@ -56,7 +57,7 @@
                 Outcome::NotRun(calls.refuse(call, reason))
             });
         }
-        let not_run = call.refuse(reason, wait_after(reason), self.me.vm.clone());
+        let not_run = call.refuse(reason, self.wait_after(reason), self.me.vm.clone());
         self.finish(cx, key, Outcome::NotRun(not_run));
     }
 
--- a/crates/poplartrail-core/src/engine/routing.rs
+++ b/crates/poplartrail-core/src/engine/routing.rs
@@ -76,6 +76,9 @@
     }
 
     fn routed(&mut self, now: Time, req: &RoutedRequest) -> Result<Arrival, Refusal> {
+        if self.life.is_closing() {
+            return Err(Refusal::Draining);
+        }
         let random = self.calls.random();
         let hosted = self.hosted.as_mut().ok_or(Refusal::Starting)?;
         let site = hosted.site.as_ref().ok_or(Refusal::Starting)?;
@@ -89,7 +92,7 @@
             origin: Origin::Routed { attempts: rule.attempts, caller: self.me.service.clone() },
             service,
             request: req.request,
-            rank: Some(site.rank_of(rule.priority)),
+            rank: Some(site.rank_of(rule)),
             deadline: Some(req.deadline.map_or(timeout, |deadline| deadline.min(timeout))),
             effect,
             payload: req.payload.clone(),
@@ -110,6 +113,12 @@
         }
     }
 
+    /// Refuses, from now on, whatever still comes to a node that is leaving.
+    pub(super) fn close(&mut self, out: &mut Vec<Output>) {
+        self.life.close();
+        self.note_phase(out);
+    }
+
     /// Takes in the operators' document, if it is newer than what is in force.
     pub(super) fn take_site(&mut self, now: Time, document: &Bytes, out: &mut Vec<Output>) {
         if self.site().is_some_and(|site| site.document == *document) {
--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -48,6 +48,8 @@
     pub is_begun: bool,
     /// Smallest share of its rank that gates before this one have admitted.
     pub passed: Share,
+    /// Longest expected wait with which the call is taken; `None` for any.
+    pub longest_wait: Option<Duration>,
 }
 
 impl Offer {
@@ -211,6 +213,10 @@
             steps.push(GateStep::Refuse(offer.call, Refusal::TooLate));
             return;
         }
+        if offer.longest_wait.is_some_and(|longest| self.expected_wait(offer.rank) > longest) {
+            self.shed(&offer, Refusal::QueueFull, steps);
+            return;
+        }
         if let Some(evicted) = self.queue.push(offer) {
             if self.is_urgent(evicted.rank) {
                 self.protect_urgent(now, steps);
@@ -220,6 +226,16 @@
         self.fill_places(now, steps);
     }
 
+    /// Time until a call of `rank` that arrives now would have a place.
+    ///
+    /// The calls that stand before it leave at the rate of the places divided by the time that one
+    /// is held (Little's law).
+    pub fn expected_wait(&self, rank: RankIndex) -> Duration {
+        let ahead: usize = (0..=rank.0).map(|r| self.queue.len_of(RankIndex(r))).sum();
+        let hold = self.hold.unwrap_or_default();
+        Duration::from_secs_f64(hold * ahead as f64 / self.limit().max(1) as f64)
+    }
+
     /// Takes in a finished call and gives its place to the next.
     pub fn complete(&mut self, now: Time, done: Completion, steps: &mut Vec<GateStep>) {
         self.note_use(now);
--- a/crates/poplartrail-core/src/site/config.rs
+++ b/crates/poplartrail-core/src/site/config.rs
@@ -7,7 +7,7 @@
 use crate::{
     names::{RankName, ServiceName},
     policy::{Bounds, Policy, PolicyError, Rank, Ranks, ServiceRule},
-    site::{CallerLimits, RouteTable},
+    site::{CallerLimits, RouteRule, RouteTable},
 };
 
 /// Most ranks that the priorities of routes are folded into.
@@ -43,21 +43,21 @@
 }
 
 impl SiteConfig {
-    /// The name of the rank of routes with `priority`.
-    pub fn rank_of(&self, priority: u32) -> RankName {
-        let priorities = self.priorities();
-        let at = priorities.iter().take_while(|p| **p < priority).count();
-        rank_name(at.min(MAX_RANKS - 1))
+    /// The name of the rank of the requests of `rule`.
+    pub fn rank_of(&self, rule: &RouteRule) -> RankName {
+        let before = self.urgencies().into_iter().take_while(|u| *u < urgency(rule)).count();
+        rank_name(before.min(MAX_RANKS - 1))
     }
 
     /// The ranks, services and bounds that follow from the routes.
     ///
-    /// Each priority becomes a rank of its own, the most urgent one first.
+    /// Each priority and target becomes a rank of its own: by priority first, and within one the
+    /// shortest target first, as its requests have the least time to wait.
     pub fn policy(&self, bounds: Bounds) -> Result<Policy, PolicyError> {
-        let priorities = self.priorities();
-        let ranks = priorities.iter().take(MAX_RANKS).enumerate().map(|(at, priority)| Rank {
+        let urgencies = self.urgencies();
+        let ranks = urgencies.iter().take(MAX_RANKS).enumerate().map(|(at, (_, target))| Rank {
             name: rank_name(at),
-            target: self.target_of(*priority).clamp(TARGETS.0, TARGETS.1),
+            target: (*target).clamp(TARGETS.0, TARGETS.1),
             worth: RANK_WORTH.powi((MAX_RANKS - at) as i32),
             is_urgent: false,
         });
@@ -74,15 +74,15 @@
         Policy::new(Ranks::new(ranks)?, services.collect(), Vec::new(), bounds)
     }
 
-    fn priorities(&self) -> BTreeSet<u32> {
-        self.routes.rules().map(|rule| rule.priority).collect()
+    /// The urgencies of all routes, the greatest first.
+    fn urgencies(&self) -> BTreeSet<(u32, Duration)> {
+        self.routes.rules().map(|rule| urgency(rule)).collect()
     }
+}
 
-    /// The longest target among the routes of a priority.
-    fn target_of(&self, priority: u32) -> Duration {
-        let rules = self.routes.rules().filter(|rule| rule.priority == priority);
-        rules.map(|rule| rule.target_latency).max().unwrap_or(TARGETS.1)
-    }
+/// What orders the requests of a route among others; the smallest is the most urgent.
+fn urgency(rule: &RouteRule) -> (u32, Duration) {
+    (rule.priority, rule.target_latency)
 }
 
 fn rank_name(at: usize) -> RankName {
--- a/crates/poplartrail-core/tests/given_up_slot.rs
+++ b/crates/poplartrail-core/tests/given_up_slot.rs
@@ -120,8 +120,9 @@
 #[test]
 fn says_unknown() {
     let mut node = past_holder();
-    let origin = Origin::Peer { budget: Default::default(), depth: 1, passed: Share::FULL };
-    match outcome_of(ask(&mut node, origin, later_key())) {
+    let origin =
+        Origin::Peer { budget: Default::default(), depth: 1, passed: Share::FULL, caller: None };
+    match outcome_of(ask(&mut node, origin.clone(), later_key())) {
         Outcome::Unknown(unknown) => assert_eq!(unknown.doubt, Doubt::HomeUnreachable),
         other => panic!("{other:?}"),
     }
--- a/crates/poplartrail-node/src/adapters/peers/dial.rs
+++ b/crates/poplartrail-node/src/adapters/peers/dial.rs
@@ -28,6 +28,7 @@
     config: ClientConfig,
     cells: Arc<Mutex<HashMap<SocketAddr, Cell>>>,
     decide: Ring<DecideMessage>,
+    least_silence: Duration,
 }
 
 impl Dialer {
@@ -35,8 +36,9 @@
         endpoint: Endpoint,
         config: ClientConfig,
         decide: Ring<DecideMessage>,
+        least_silence: Duration,
     ) -> Self {
-        Self { endpoint, config, cells: Arc::default(), decide }
+        Self { endpoint, config, cells: Arc::default(), decide, least_silence }
     }
 
     /// The connection to `vm` at `to`, or `None` if none can be opened in time.
@@ -57,7 +59,12 @@
         let connecting = connecting.map_err(|_| ())?;
         let connection = timeout(CONNECT_TIMEOUT, connecting).await.map_err(|_| ())?;
         let connection = connection.map_err(|_| ())?;
-        tokio::spawn(watch(connection.clone(), vm.clone(), self.decide.clone()));
+        tokio::spawn(watch(
+            connection.clone(),
+            vm.clone(),
+            self.decide.clone(),
+            self.least_silence,
+        ));
         Ok(connection)
     }
 
--- a/crates/poplartrail-node/src/adapters/peers/watch.rs
+++ b/crates/poplartrail-node/src/adapters/peers/watch.rs
@@ -10,8 +10,6 @@
 
 /// Time between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(25);
-/// Shortest silence that counts.
-const MIN_SILENCE: Duration = Duration::from_millis(100);
 /// Packets that must have gone out since; a connection at rest sends one late acknowledgement,
 /// one with lost content repeats itself.
 const MIN_UNANSWERED: u64 = 3;
@@ -21,8 +19,14 @@
 /// Tells the decide thread when packets go out to `vm` and none comes back.
 ///
 /// QUIC acknowledges every packet with content, whatever the other end's upstream does,
-/// so this tells a silent connection from a slow service.
-pub(crate) async fn watch(connection: Connection, vm: VmName, decide: Ring<DecideMessage>) {
+/// so this tells a silent connection from a slow service. `least` is the shortest silence that
+/// counts.
+pub(crate) async fn watch(
+    connection: Connection,
+    vm: VmName,
+    decide: Ring<DecideMessage>,
+    least: Duration,
+) {
     let mut received = 0;
     let mut sent_at_last = 0;
     let mut silent_since: Option<Instant> = None;
@@ -35,7 +39,7 @@
             silent_since = None;
         } else if sent > sent_at_last {
             let since = *silent_since.get_or_insert_with(Instant::now);
-            let is_long = since.elapsed() >= MIN_SILENCE.max(connection.rtt() * ROUND_TRIPS);
+            let is_long = since.elapsed() >= least.max(connection.rtt() * ROUND_TRIPS);
             if is_long && sent >= sent_at_last + MIN_UNANSWERED {
                 decide.push(DecideMessage::Input(Input::PeerSilent(vm))).await;
                 return;
--- a/crates/poplartrail-node/src/daemon/hosted.rs
+++ b/crates/poplartrail-node/src/daemon/hosted.rs
@@ -33,12 +33,19 @@
 };
 
 /// Part of the grace period that is kept for the end of the process itself.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
+const EXIT_MARGIN: Duration = Duration::from_millis(600);
 /// Time after the signal in which callers on the VM still send new work: two readiness checks a
 /// second apart, and the requests that were on their way.
-const CALLERS_LEAVE: Duration = Duration::from_secs(3);
+const CALLERS_LEAVE: Duration = Duration::from_millis(2800);
+/// Time in which the last answers are written.
+const LAST_WORDS: Duration = Duration::from_millis(150);
+/// Pause before a step of the stop is offered again to a full ring.
+const FULL_PAUSE: Duration = Duration::from_millis(10);
 /// Time between two looks at whether anything is in progress.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Shortest silence between nodes that counts. A node with a fraction of a core may not run for a
+/// tenth of a second at a time, and several such pauses may follow each other under load.
+const LEAST_SILENCE: Duration = Duration::from_millis(500);
 /// Idle connections to the upstream that are kept.
 const MAX_IDLE: usize = 256;
 
@@ -117,17 +124,26 @@
 
 /// Goes on serving until callers have left and nothing is in progress, within the grace period.
 fn leave(settings: &HostedSettings, decide: &Ring<DecideMessage>, stopped: &watch::Receiver<bool>) {
-    // A full ring means that work is in progress; the loop below offers it again.
-    let mut is_told = decide.offer(DecideMessage::Input(Input::Leave)).is_ok();
     let longest = settings.grace.saturating_sub(EXIT_MARGIN);
     let mut waited = Duration::ZERO;
-    while waited < longest {
+    tell(decide, Input::Leave);
+    sleep(CALLERS_LEAVE.min(longest / 2));
+    waited += CALLERS_LEAVE.min(longest / 2);
+    tell(decide, Input::Close);
+    while waited < longest && !*stopped.borrow() {
         sleep(LOOK_PAUSE);
         waited += LOOK_PAUSE;
-        is_told = is_told || decide.offer(DecideMessage::Input(Input::Leave)).is_ok();
-        if waited >= CALLERS_LEAVE.min(longest) && *stopped.borrow() {
-            return;
-        }
+    }
+    tell(decide, Input::End);
+    sleep(LAST_WORDS);
+}
+
+/// Hands a step of the stop to the decide thread, whose ring may be full for a moment.
+fn tell(decide: &Ring<DecideMessage>, step: Input) {
+    let mut message = DecideMessage::Input(step);
+    while let Err(back) = decide.offer(message) {
+        message = back;
+        sleep(FULL_PAUSE);
     }
 }
 
@@ -187,6 +203,7 @@
         tls: PeersTls::for_process(&settings.vm)?,
         max_message_bytes: settings.limits.max_body_bytes + MESSAGE_MARGIN,
         max_pending: settings.limits.max_calls,
+        least_silence: LEAST_SILENCE,
         clock,
     })
 }
--- a/crates/poplartrail-wire/tests/peer_messages.rs
+++ b/crates/poplartrail-wire/tests/peer_messages.rs
@@ -24,6 +24,7 @@
         deadline: Time::from_millis(1_000) + left,
         depth: 21,
         effect,
+        caller: Some(ServiceName::new("routes").unwrap()),
     }
 }
 
@@ -50,11 +51,12 @@
         retries in 0u8..=255,
         parts in 1u32..=65_536,
         random in any::<u128>(),
-        has_key in any::<bool>(),
+        key_kind in 0u8..3,
         body in proptest::collection::vec(any::<u8>(), 0..2_000),
     ) {
         let key = IdempotencyKey::mint(WallTime::from_millis(1_800_000_000_000), random);
-        let effect = if has_key { Effect::Once(key) } else { Effect::Idempotent };
+        let effects = [Effect::Once(key), Effect::Idempotent, Effect::AtMostOnce];
+        let effect = effects[usize::from(key_kind)];
         let left = Duration::from_micros(left_us);
         let (sent, payload) = (context(effect, left), payload(body));
         let (from, service) = (VmName::new("vm-1").unwrap(), ServiceName::new("swaps").unwrap());
@@ -79,7 +81,7 @@
         // The clock of the receiver has nothing to do with that of the sender.
         let (there, ticket) = (Time::from_millis(77), Ticket { port: Port::Peers, id: 5 });
         let read = arrival(*call, ticket, there).expect("what was written can be read");
-        prop_assert_eq!(read.origin, Origin::Peer { budget, depth: 21, passed });
+        prop_assert_eq!(read.origin, Origin::Peer { budget, depth: 21, passed, caller: sent.caller });
         prop_assert_eq!(read.service, service);
         prop_assert_eq!(read.request, sent.request);
         prop_assert_eq!(read.rank, Some(sent.rank));
