--- a/crates/poplartrail-bench/src/bin/cost.rs
+++ b/crates/poplartrail-bench/src/bin/cost.rs
@@ -70,6 +70,7 @@
             deadline: now + Duration::from_secs(1),
             is_begun: false,
             passed: Share::FULL,
+            longest_wait: None,
         };
         gate.offer(now, offer, &mut steps);
         for step in steps.drain(..) {
--- a/crates/poplartrail-core/tests/given_up_slot.rs
+++ b/crates/poplartrail-core/tests/given_up_slot.rs
@@ -137,7 +137,7 @@
     next.slots.clear();
     let heard = Input::PeerMembers(vec![next.clone()]);
     node.handle(Time::from_millis(2), START, heard, &mut Vec::new());
-    let out = ask(&mut node, origin, later_key());
+    let out = ask(&mut node, origin.clone(), later_key());
     assert!(
         out.iter().any(|o| matches!(o, Output::AskMembers { vm, .. } if *vm == next.member.vm))
     );
@@ -146,7 +146,7 @@
     next.slots.push(SlotChange { slot: Slot(0), change: LeaseChange::Renew });
     let told = Input::PeerMembers(vec![next.clone()]);
     node.handle(Time::from_millis(3), START, told, &mut Vec::new());
-    let out = ask(&mut node, origin, later_key());
+    let out = ask(&mut node, origin.clone(), later_key());
     assert!(out.iter().any(|o| matches!(o, Output::Send(send) if send.vm == next.member.vm)));
 }
 
--- a/crates/poplartrail-http/src/h1/connection.rs
+++ b/crates/poplartrail-http/src/h1/connection.rs
@@ -29,7 +29,7 @@
     /// Time within which the connection must be open.
     pub connect_timeout: Duration,
     /// Time between two probes of a connection over which nothing comes; two without an answer
-    /// end it.
+    /// end it. The kernel takes whole seconds.
     pub keepalive: Duration,
     /// Largest head of an answer.
     pub max_head_bytes: usize,
@@ -194,7 +194,7 @@
     let socket = SockRef::from(stream);
     socket.set_tcp_keepalive(&probes)?;
     // Without it, bytes that nobody acknowledges are sent again for minutes.
-    socket.set_tcp_user_timeout(Some(options.keepalive * 3))
+    socket.set_tcp_user_timeout(Some(options.keepalive * 2))
 }
 
 /// Time for which a connection may wait for its next request.
--- a/crates/poplartrail-node/src/adapters/store/client.rs
+++ b/crates/poplartrail-node/src/adapters/store/client.rs
@@ -13,8 +13,8 @@
 /// Time within which the store must take a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two probes of a connection on which an answer is awaited, so that one that has
-/// gone silent is replaced within the time that a change of configuration may take.
-const KEEPALIVE: Duration = Duration::from_millis(500);
+/// gone silent is replaced soon after a disturbance has ended. The kernel counts whole seconds.
+const KEEPALIVE: Duration = Duration::from_secs(1);
 /// Largest head of an answer.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Largest answer; the store sends at most a mebibyte, and JSON of as much again.
--- /dev/null
+++ b/crates/poplartrail-node/tests/hosted_stop.rs
@@ -0,0 +1,90 @@
+//! The planned stop of a node whose instance runs on, and a restart beside it.
+
+use std::{thread::sleep, time::Duration};
+
+use poplartrail_stand::hosted::{HostedNode, StandInstance, StandStore};
+
+const SITE: &str = include_str!("sites/small.json");
+const HOST: &str = "routes.example";
+
+fn two_nodes() -> (StandStore, [StandInstance; 2], [HostedNode; 2]) {
+    let store = StandStore::start();
+    store.publish(SITE);
+    let instances = [StandInstance::start("i-1"), StandInstance::start("i-2")];
+    let mut nodes = [
+        HostedNode::start("vm-1", "routes", &store, &instances[0]),
+        HostedNode::start("vm-2", "routes", &store, &instances[1]),
+    ];
+    for (node, instance) in nodes.iter_mut().zip(&instances) {
+        node.await_ready();
+        assert_eq!(node.check_in(instance, "ready"), 200);
+    }
+    // Each node has heard of the other once its calls run at both.
+    let mut id = 0;
+    nodes[0].await_that("routed to both", || {
+        id += 1;
+        let mut caller = nodes[0].caller();
+        caller.ask("GET", HOST, "/read/slow-50", &format!("f0{id}"));
+        let mut both: Vec<_> = (0..8).map(|_| nodes[0].caller()).collect();
+        for (at, caller) in both.iter_mut().enumerate() {
+            caller.send("GET", HOST, "/read/slow-50", &format!("f1{id}{at}"));
+        }
+        both.iter_mut().for_each(|caller| drop(caller.read()));
+        instances.iter().all(|instance| instance.total_runs() > 0)
+    });
+    (store, instances, nodes)
+}
+
+#[test]
+fn nothing_read_is_lost() {
+    let (_store, _instances, mut nodes) = two_nodes();
+    let mut running = nodes[0].caller();
+    running.send("POST", HOST, "/book/slow-1500", "a1");
+    let mut kept = nodes[0].caller();
+    assert_eq!(kept.ask("GET", HOST, "/read/ok", "a2").expect("an answer").status, 200);
+    sleep(Duration::from_millis(100));
+    nodes[0].process().signal("TERM");
+    nodes[0].await_that("not ready", || nodes[0].readiness() == 503);
+
+    // A request on a connection that was open is still served, through the other node.
+    let reply = kept.ask("GET", HOST, "/read/ok", "a3").expect("an answer");
+    assert_eq!((reply.status, reply.body.as_str()), (200, "answer to a3"));
+    assert_eq!(running.read().expect("an answer").body, "answer to a1");
+    assert_eq!(nodes[0].process().wait(Duration::from_secs(8)), Some(0), "ends by itself");
+}
+
+#[test]
+fn late_request_is_refused_as_not_run() {
+    let (_store, instances, mut nodes) = two_nodes();
+    let mut running = nodes[0].caller();
+    nodes[0].process().signal("TERM");
+    sleep(Duration::from_millis(1_000));
+    running.send("POST", HOST, "/book/slow-3500", "b1");
+    sleep(Duration::from_millis(2_200));
+    let late = nodes[0].caller().ask("POST", HOST, "/book/ok", "b2");
+    // The connection may also be refused by then; what may not be is an answer that says it ran.
+    if let Some(reply) = late {
+        assert_eq!(reply.status, 503);
+        assert!(reply.headers.contains_key("retry-after"));
+    }
+    assert_eq!(instances.iter().map(|i| i.runs("b2")).sum::<usize>(), 0);
+    assert!(running.read().is_some(), "a request that was taken gets an answer");
+}
+
+#[test]
+fn restart_beside_a_running_instance() {
+    let (_store, instances, mut nodes) = two_nodes();
+    nodes[0].restart();
+    nodes[0].await_ready();
+    // The node does not know yet whether its instance is leaving, so the other one serves.
+    let reply = nodes[0].caller().ask("GET", HOST, "/read/ok", "c1").expect("an answer");
+    assert_eq!((reply.status, instances[1].runs("c1")), (200, 1));
+    assert_eq!(nodes[0].check_in(&instances[0], "ready"), 200);
+    nodes[1].process().kill();
+    let mut id = 0;
+    nodes[0].await_that("served by the own instance", || {
+        id += 1;
+        let reply = nodes[0].caller().ask("GET", HOST, "/read/ok", &format!("c2{id}"));
+        reply.is_some_and(|reply| reply.status == 200) && instances[0].runs(&format!("c2{id}")) == 1
+    });
+}
--- /dev/null
+++ b/crates/poplartrail-stand/src/hosted/mod.rs
@@ -0,0 +1,12 @@
+//! A small platform on loopback: its store, instances with faults, nodes and callers.
+
+mod caller;
+mod instance;
+mod node;
+mod store;
+mod wire;
+
+pub use caller::{HostedCaller, HostedReply};
+pub use instance::StandInstance;
+pub use node::HostedNode;
+pub use store::StandStore;
