--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -228,12 +228,15 @@
 
     /// Time until a call of `rank` that arrives now would have a place.
     ///
-    /// The calls that stand before it leave at the rate of the places divided by the time that one
-    /// is held (Little's law).
+    /// The call and those that stand before it leave at the rate of the places divided by the time
+    /// that one is held (Little's law).
     pub fn expected_wait(&self, rank: RankIndex) -> Duration {
+        if self.in_flight < self.limit() {
+            return Duration::ZERO;
+        }
         let ahead: usize = (0..=rank.0).map(|r| self.queue.len_of(RankIndex(r))).sum();
         let hold = self.hold.unwrap_or_default();
-        Duration::from_secs_f64(hold * ahead as f64 / self.limit().max(1) as f64)
+        Duration::from_secs_f64(hold * (ahead + 1) as f64 / self.limit().max(1) as f64)
     }
 
     /// Takes in a finished call and gives its place to the next.
--- a/crates/poplartrail-core/src/site/route_table.rs
+++ b/crates/poplartrail-core/src/site/route_table.rs
@@ -13,11 +13,14 @@
     pub prefixes: Vec<(Arc<str>, RouteRule)>,
 }
 
+/// A path prefix with the rule of its requests.
+type PrefixRule = (Arc<str>, Arc<RouteRule>);
+
 /// All routes of a site.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RouteTable {
     /// Prefixes of each host, the longest first.
-    hosts: HashMap<Arc<str>, Vec<(Arc<str>, Arc<RouteRule>)>>,
+    hosts: HashMap<Arc<str>, Vec<PrefixRule>>,
 }
 
 impl RouteTable {
--- a/crates/poplartrail-core/tests/given_up_slot.rs
+++ b/crates/poplartrail-core/tests/given_up_slot.rs
@@ -122,7 +122,7 @@
     let mut node = past_holder();
     let origin =
         Origin::Peer { budget: Default::default(), depth: 1, passed: Share::FULL, caller: None };
-    match outcome_of(ask(&mut node, origin.clone(), later_key())) {
+    match outcome_of(ask(&mut node, origin, later_key())) {
         Outcome::Unknown(unknown) => assert_eq!(unknown.doubt, Doubt::HomeUnreachable),
         other => panic!("{other:?}"),
     }
@@ -146,7 +146,7 @@
     next.slots.push(SlotChange { slot: Slot(0), change: LeaseChange::Renew });
     let told = Input::PeerMembers(vec![next.clone()]);
     node.handle(Time::from_millis(3), START, told, &mut Vec::new());
-    let out = ask(&mut node, origin.clone(), later_key());
+    let out = ask(&mut node, origin, later_key());
     assert!(out.iter().any(|o| matches!(o, Output::Send(send) if send.vm == next.member.vm)));
 }
 
--- /dev/null
+++ b/crates/poplartrail-core/tests/route_table.rs
@@ -0,0 +1,100 @@
+//! Selection of a route, and the ranks that follow from routes.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use poplartrail_core::{
+    names::{RouteName, ServiceName},
+    policy::Bounds,
+    site::{
+        CallerLimits, HostRoutes, RouteRule, RouteTable, SiteConfig, SiteVersion, SplitPart, Splits,
+    },
+};
+use test_case::test_case;
+
+fn rule(name: &str, priority: u32, target_ms: u64) -> RouteRule {
+    RouteRule {
+        name: RouteName::new(name).unwrap(),
+        is_idempotent: true,
+        parts: vec![part("routes", 1)],
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(target_ms),
+        attempts: 2,
+        priority,
+    }
+}
+
+fn part(service: &str, weight: u32) -> SplitPart {
+    SplitPart { service: ServiceName::new(service).unwrap(), weight }
+}
+
+fn table() -> RouteTable {
+    let prefixes = [("/a/", "short", 1, 1_500), ("/a/b/", "long", 0, 200), ("/", "all", 1, 300)];
+    let prefixes = prefixes
+        .iter()
+        .map(|(prefix, name, priority, target)| {
+            (Arc::from(*prefix), rule(name, *priority, *target))
+        })
+        .collect();
+    RouteTable::new(vec![HostRoutes { host: Arc::from("h.example"), prefixes }])
+}
+
+#[test_case("/a/x", Some("short"))]
+#[test_case("/a/b/x", Some("long"))]
+#[test_case("/a/b/", Some("long"))]
+#[test_case("/a/b", Some("short"); "a prefix ends with its slash")]
+#[test_case("/ab", Some("all"))]
+fn longest_prefix_wins(path: &str, expected: Option<&str>) {
+    let table = table();
+    assert_eq!(table.find("h.example", path).map(|rule| rule.name.as_str()), expected);
+    assert_eq!(table.find("other.example", path), None);
+}
+
+#[test]
+fn ranks_follow_priority_and_target() {
+    let site = SiteConfig {
+        version: SiteVersion(1),
+        routes: table(),
+        services: vec![ServiceName::new("routes").unwrap()],
+        limits: CallerLimits::default(),
+        document: Bytes::new(),
+    };
+    let policy = site.policy(Bounds::default()).expect("a policy follows");
+    let targets: Vec<u128> = policy.ranks.iter().map(|rank| rank.target.as_millis()).collect();
+    assert_eq!(targets, [200, 300, 1_500]);
+    let rank = |path| site.rank_of(site.routes.find("h.example", path).unwrap());
+    let at = |path| policy.ranks.find(&rank(path)).unwrap().index();
+    assert_eq!([at("/a/b/x"), at("/x"), at("/a/x")], [0, 1, 2]);
+}
+
+#[test_case(&[90, 10])]
+#[test_case(&[1, 1, 1])]
+#[test_case(&[7, 2, 1])]
+#[test_case(&[100, 0])]
+fn parts_get_their_weights(weights: &[u32]) {
+    let mut rule = rule("split", 1, 300);
+    rule.parts =
+        weights.iter().enumerate().map(|(at, weight)| part(&format!("s{at}"), *weight)).collect();
+    let total: u32 = weights.iter().sum();
+    for random in [0, 1, 17, 1 << 40] {
+        let mut splits = Splits::default();
+        let mut counts = vec![0; weights.len()];
+        for _ in 0..total * 10 {
+            let service = splits.next(&rule, random).expect("a part is open");
+            let at = rule.parts.iter().position(|part| part.service == service).unwrap();
+            counts[at] += 1;
+        }
+        let expected: Vec<u32> = weights.iter().map(|weight| weight * 10).collect();
+        assert_eq!(counts, expected, "start {random}");
+    }
+}
+
+#[test]
+fn changed_weights_hold_at_once() {
+    let mut rule = rule("split", 1, 300);
+    rule.parts = vec![part("a", 1), part("b", 0)];
+    let mut splits = Splits::default();
+    assert_eq!(splits.next(&rule, 0).unwrap().as_str(), "a");
+    rule.parts = vec![part("a", 0), part("b", 1)];
+    assert!((0..10).all(|_| splits.next(&rule, 0).unwrap().as_str() == "b"));
+}
--- a/crates/poplartrail-http/src/h1/head.rs
+++ b/crates/poplartrail-http/src/h1/head.rs
@@ -112,7 +112,6 @@
     }
 }
 
-#[expect(clippy::needless_pass_by_value, reason = "called through map_err")]
 fn describe(err: httparse::Error) -> MessageError {
     MessageError::Head(match err {
         httparse::Error::HeaderName => "field name",
