--- a/crates/poplartrail-core/src/engine/arrivals.rs
+++ b/crates/poplartrail-core/src/engine/arrivals.rs
@@ -266,9 +266,12 @@
     fn come_in_idempotent(&mut self, cx: &mut Cx<'_>, key: CallKey, call: Call<Arrived>) {
         let blocked = match cx.life {
             Life::Starting(_) => Some(Refusal::Starting),
-            Life::Draining(_) | Life::Closing(_) => Some(Refusal::Draining),
-            Life::Serving(_) if cx.now < self.upstream_down_until => Some(Refusal::Unsent),
-            Life::Serving(_) => self.upstream_closed,
+            Life::Closing(_) => Some(Refusal::Draining),
+            Life::Draining(_) if !self.is_site_ruled => Some(Refusal::Draining),
+            Life::Serving(_) | Life::Draining(_) if cx.now < self.upstream_down_until => {
+                Some(Refusal::Unsent)
+            }
+            Life::Serving(_) | Life::Draining(_) => self.upstream_closed,
         };
         match blocked {
             Some(reason) if self.live[key].is_routed() => {
--- a/crates/poplartrail-core/src/engine/ending.rs
+++ b/crates/poplartrail-core/src/engine/ending.rs
@@ -83,6 +83,13 @@
         cx.note(Some(live.request), rank, kind);
     }
 
+    /// Whether other nodes should send their calls elsewhere from now on.
+    fn takes_no_more(&self, cx: &Cx<'_>) -> bool {
+        let is_leaving =
+            if self.is_site_ruled { cx.life.is_closing() } else { cx.life.is_draining() };
+        is_leaving || self.upstream_closed == Some(Refusal::Draining)
+    }
+
     /// State of the gate, to be carried back on an answer.
     pub(crate) fn report(
         &mut self,
@@ -91,13 +98,15 @@
         unspent: RetryBudget,
     ) -> GateReport {
         let load = gate_load(self.gate.in_flight(), self.gate.queued(), self.gate.limit());
-        let ranks = (0..self.policy.ranks.len()).map(|rank| RankIndex(rank as u8));
+        // A gate that does not divide its capacity has nothing to tell of the other ranks.
+        let told = if self.options.has_shares { self.policy.ranks.len() } else { 0 };
+        let ranks = (0..told).map(|rank| RankIndex(rank as u8));
         let shares = ranks.map(|rank| self.path_share(cx.now, rank)).collect();
         GateReport {
             shares,
             share: self.path_share(cx.now, rank),
             load,
-            is_draining: cx.life.is_draining() || self.upstream_closed == Some(Refusal::Draining),
+            is_draining: self.takes_no_more(cx),
             unspent,
             config: cx.keeper.config_version(),
         }
--- a/crates/poplartrail-core/src/engine/node.rs
+++ b/crates/poplartrail-core/src/engine/node.rs
@@ -11,7 +11,7 @@
         Output, Phase, RankView, calls::Cx, routing::Hosted,
     },
     keys::{Home, IdempotencyKey},
-    member::{Member, MemberRecord, MemberState},
+    member::{Member, MemberRecord},
     names::{ServiceName, VmName},
     policy::{Policy, RankIndex},
     route::{Instance, Standing},
@@ -122,7 +122,7 @@
             Input::PeerMembers(members) => self.hear_members(now, &members),
             Input::Wake => self.wake(now, wall, out),
             Input::Leave => self.leave(now, wall, out),
-            Input::Close => self.close(out),
+            Input::Close => self.close(now, wall, out),
             Input::End => self.with_calls(now, wall, out, |calls, cx| calls.end_all(cx)),
         }
         self.follow_called(out);
@@ -406,15 +406,20 @@
         }
         self.life.drain(now);
         self.note_phase(out);
+        // The upstream of a hosted node may well outlive it, so it is served until the node closes.
         if self.hosted.is_some() {
-            self.announce(MemberState::Draining, out);
-        } else {
-            let policy = self.calls.policy().clone();
-            self.keeper.announce_draining(now, &policy, out);
+            return;
         }
+        let policy = self.calls.policy().clone();
+        self.keeper.announce_draining(now, &policy, out);
+        self.tell_leaving(out);
+        self.with_calls(now, wall, out, |calls, cx| calls.leave_queue(cx));
+    }
+
+    /// Tells the nodes that have answered lately that this one takes no more calls.
+    pub(super) fn tell_leaving(&self, out: &mut Vec<Output>) {
         let peers = self.calls.router().iter().filter(|(_, i)| i.last_heard().is_some());
         out.push(Output::TellLeaving(peers.map(|(_, i)| (i.vm.clone(), i.addr)).collect()));
-        self.with_calls(now, wall, out, |calls, cx| calls.leave_queue(cx));
     }
 
     /// Gives the key slots up once nothing is in progress.
--- a/crates/poplartrail-core/src/engine/routing.rs
+++ b/crates/poplartrail-core/src/engine/routing.rs
@@ -114,9 +114,14 @@
     }
 
     /// Refuses, from now on, whatever still comes to a node that is leaving.
-    pub(super) fn close(&mut self, out: &mut Vec<Output>) {
+    ///
+    /// Nothing is written to the log: the nodes that call this one are told, and a node that comes
+    /// back beside its upstream announces itself anew.
+    pub(super) fn close(&mut self, now: Time, wall: WallTime, out: &mut Vec<Output>) {
         self.life.close();
         self.note_phase(out);
+        self.tell_leaving(out);
+        self.with_calls(now, wall, out, |calls, cx| calls.leave_queue(cx));
     }
 
     /// Takes in the operators' document, if it is newer than what is in force.
--- a/crates/poplartrail-core/src/engine/sending.rs
+++ b/crates/poplartrail-core/src/engine/sending.rs
@@ -215,10 +215,26 @@
         }
         live.moves += 1;
         let avoid = live.instance;
+        let is_full = matches!(reason, Refusal::QueueFull | Refusal::Overload);
+        if is_full {
+            self.note_own_load();
+            let random = self.random();
+            let choice = self.router.choose_with_room(cx.now, call.service(), avoid, random);
+            let Choice::Send(instance) = choice else {
+                let not_run = call.refuse(reason, wait, by);
+                return self.finish(cx, key, Outcome::NotRun(not_run));
+            };
+            self.note_moved(cx, &call, by, reason);
+            return self.send_to(cx, key, call, instance);
+        }
+        self.note_moved(cx, &call, by, reason);
+        self.send_anywhere(cx, key, call, avoid);
+    }
+
+    fn note_moved(&self, cx: &mut Cx<'_>, call: &Call<Arrived>, by: VmName, reason: Refusal) {
         let (request, rank) = (call.context().request, call.context().rank.clone());
         let kind = EventKind::Moved { service: call.service().clone(), from: by, reason };
         cx.note(Some(request), Some(rank), kind);
-        self.send_anywhere(cx, key, call, avoid);
     }
 
     /// Brings the own instance's entry in the routes up to the state of the own gate.
--- a/crates/poplartrail-core/src/route/instance.rs
+++ b/crates/poplartrail-core/src/route/instance.rs
@@ -28,6 +28,8 @@
 /// Longest pause after failures in a row.
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 
+/// Time in which a report of load loses half of its weight; floods last for seconds.
+const LOAD_HALVING: Duration = Duration::from_secs(1);
 /// Pause after the first try to reach an instance again; about the length of one failed try.
 const FIRST_PROBE_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause between two tries: a node that is back must serve within a second or so.
@@ -152,6 +154,16 @@
         Share::from_fraction(start * doublings.min(16.0).exp2())
     }
 
+    /// Calls at its gate as parts of 1 024 of the limit, as far as is known now.
+    ///
+    /// A report loses half of its weight in every [`LOAD_HALVING`], so that an instance which was
+    /// full is tried again.
+    pub(crate) fn load(&self, now: Time) -> f64 {
+        let age = self.last_heard.map_or(Duration::ZERO, |at| now.since(at));
+        let halvings = age.as_secs_f64() / LOAD_HALVING.as_secs_f64();
+        f64::from(self.load) * (-halvings).exp2()
+    }
+
     /// Cost of one more call, for the choice between two instances.
     pub fn cost(&self) -> f64 {
         f64::from(self.outstanding + 1) * (1.0 + f64::from(self.load) / 1024.0)
--- a/crates/poplartrail-core/src/route/router.rs
+++ b/crates/poplartrail-core/src/route/router.rs
@@ -18,7 +18,10 @@
 const ENOUGH_IN_ZONE: usize = 3;
 
 /// Load of an instance whose places are all taken, in parts of its limit.
-const FULL_LOAD: usize = 1024;
+const FULL_LOAD: f64 = 1024.0;
+/// Load up to which an instance has room to spare for calls of other availability zones; the rest
+/// is kept for its own.
+const ROOM_LOAD: f64 = 0.75 * FULL_LOAD;
 
 /// The result of a choice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -229,16 +232,50 @@
             return Choice::Shed(best.unwrap_or(Share::NONE));
         }
         if self.keeps_zone {
-            let has_place = |i: &Instance| i.zone == self.zone && usize::from(i.load) < FULL_LOAD;
-            if admitting.iter().any(|(_, i)| has_place(i)) {
-                admitting.retain(|(_, i)| has_place(i));
-            }
+            self.keep_worthwhile(now, &mut admitting);
         } else if admitting.iter().filter(|(_, i)| i.zone == self.zone).count() >= ENOUGH_IN_ZONE {
             admitting.retain(|(_, i)| i.zone == self.zone);
         }
         Choice::Send(self.cheaper_of_two(&admitting, random))
     }
 
+    /// Leaves those instances that are worth their way, the first that apply: with a place in the
+    /// own availability zone; with room to spare elsewhere; in the own zone at all; any.
+    ///
+    /// When every zone is short of places, a call is as well off in its own queue, and sending it
+    /// across would only add bytes.
+    fn keep_worthwhile(&self, now: Time, from: &mut Vec<(InstanceKey, &Instance)>) {
+        let is_near = |i: &Instance| i.zone == self.zone;
+        let has_place = |i: &Instance| is_near(i) && i.load(now) < FULL_LOAD;
+        let has_room = |i: &Instance| i.load(now) < ROOM_LOAD;
+        if from.iter().any(|(_, i)| has_place(i)) {
+            from.retain(|(_, i)| has_place(i));
+        } else if from.iter().any(|(_, i)| has_room(i)) {
+            from.retain(|(_, i)| has_room(i));
+        } else if from.iter().any(|(_, i)| is_near(i)) {
+            from.retain(|(_, i)| is_near(i));
+        }
+    }
+
+    /// Chooses another instance for a call that the instance `full` had no place for: one with room
+    /// to spare, so that in a flood no call goes from one full gate to the next.
+    pub(crate) fn choose_with_room(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        full: Option<InstanceKey>,
+        random: u64,
+    ) -> Choice {
+        let with_room: Vec<_> = self
+            .of_service(service)
+            .filter(|(key, i)| Some(*key) != full && i.is_open(now) && i.load(now) < ROOM_LOAD)
+            .collect();
+        if with_room.is_empty() {
+            return Choice::Nobody;
+        }
+        Choice::Send(self.cheaper_of_two(&with_room, random))
+    }
+
     fn cheaper_of_two(&self, from: &[(InstanceKey, &Instance)], random: u64) -> InstanceKey {
         let len = from.len() as u64;
         let first = (random & 0xffff_ffff) % len;
--- a/crates/poplartrail-node/src/daemon/hosted.rs
+++ b/crates/poplartrail-node/src/daemon/hosted.rs
@@ -36,7 +36,7 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
 /// Time after the signal in which callers on the VM still send new work: two readiness checks a
 /// second apart, and the requests that were on their way.
-const CALLERS_LEAVE: Duration = Duration::from_millis(2800);
+const CALLERS_LEAVE: Duration = Duration::from_millis(2300);
 /// Time in which the last answers are written.
 const LAST_WORDS: Duration = Duration::from_millis(150);
 /// Pause before a step of the stop is offered again to a full ring.
--- a/crates/poplartrail-node/tests/hosted_stop.rs
+++ b/crates/poplartrail-node/tests/hosted_stop.rs
@@ -88,3 +88,28 @@
         reply.is_some_and(|reply| reply.status == 200) && instances[0].runs(&format!("c2{id}")) == 1
     });
 }
+
+#[test]
+fn instance_is_served_until_its_node_closes() {
+    let store = StandStore::start();
+    store.publish(SITE);
+    let instances = [StandInstance::start("i-1"), StandInstance::start("i-2")];
+    let mut front = HostedNode::start("vm-1", "routes", &store, &instances[0]);
+    let mut back = HostedNode::start("vm-2", "swaps", &store, &instances[1]);
+    front.await_ready();
+    back.await_ready();
+    assert_eq!(back.check_in(&instances[1], "ready"), 200);
+    let ask = |id: &str| {
+        let reply = front.caller().ask("GET", HOST, "/read/swaps/ok", id);
+        reply.map_or(0, |reply| reply.status)
+    };
+    let mut id = 0;
+    front.await_that("routed to vm-2", || {
+        id += 1;
+        ask(&format!("d1{id}")) == 200
+    });
+    back.process().signal("TERM");
+    back.await_that("not ready", || back.readiness() == 503);
+    // The node is about to stop; the instance beside it is not.
+    assert_eq!(ask("d2"), 200);
+}
