--- a/crates/poplartrail-core/src/engine/arrivals.rs
+++ b/crates/poplartrail-core/src/engine/arrivals.rs
@@ -7,11 +7,11 @@
 
 use crate::{
     call::{
-        Arrived, Call, Context, Doubt, Draw, Effect, NotRun, Outcome, Payload, Refusal, RequestId,
+        Arrived, Call, Context, Doubt, Draw, Effect, Outcome, Payload, Refusal, RequestId,
         RetryBudget, Share,
     },
     engine::{
-        Arrival, CallKey, Calls, EventKind, Life, Origin, Output, Port, Ticket,
+        Arrival, CallKey, Calls, Life, Origin, Port, Ticket,
         calls::Cx,
         live::{Live, Stage},
     },
@@ -19,24 +19,10 @@
     keys::{IdempotencyKey, KeyVerdict, Known},
     names::VmName,
     policy::RankIndex,
-    route::{GateReport, Standing},
+    route::Standing,
     time::Time,
 };
 
-/// Wait that a caller is asked for after a refusal for overload.
-const OVERLOAD_WAIT: Duration = Duration::from_secs(1);
-/// Wait that a caller is asked for after another temporary refusal.
-const SHORT_WAIT: Duration = Duration::from_millis(200);
-
-/// How long a caller should wait after a refusal.
-pub(crate) fn wait_after(reason: Refusal) -> Option<Duration> {
-    match reason {
-        Refusal::Overload | Refusal::QueueFull => Some(OVERLOAD_WAIT),
-        reason if reason.is_temporary() => Some(SHORT_WAIT),
-        _ => None,
-    }
-}
-
 /// A hash of what a request asks for, to tell a repeat from another use of its key.
 fn fingerprint(payload: &Payload) -> u64 {
     let mut bytes = Vec::with_capacity(payload.target.len() + payload.body.len() + 16);
@@ -219,37 +205,6 @@
             .all(|(_, instance)| weight(&instance.vm) < own)
     }
 
-    /// Refuses a call for which no place is kept.
-    pub(crate) fn turn_away(&mut self, cx: &mut Cx<'_>, arrival: &Arrival, reason: Refusal) {
-        let kind = EventKind::TurnedAway { reason, service: arrival.service.clone() };
-        cx.note(Some(arrival.request), arrival.rank.clone(), kind);
-        let context = Context {
-            request: arrival.request,
-            rank: self.policy.ranks.get(RankIndex(0)).name.clone(),
-            deadline: cx.now,
-            depth: 0,
-            effect: arrival.effect,
-            caller: None,
-        };
-        let call = Call::arrived(arrival.service.clone(), context, Payload::default());
-        let outcome = self.truthful_refusal(call, reason);
-        let unspent = match arrival.origin {
-            Origin::Peer { budget, .. } => budget,
-            _ => RetryBudget::default(),
-        };
-        let report = GateReport { unspent, ..GateReport::default() };
-        cx.out.push(Output::Reply { ticket: arrival.ticket, outcome, report });
-    }
-
-    /// "Not run", unless an earlier call with the same key may have run at its home.
-    pub(crate) fn truthful_refusal(&self, call: Call<Arrived>, reason: Refusal) -> Outcome {
-        let may_have_run = call.context().effect.key().is_some() && reason.is_temporary();
-        if may_have_run {
-            return Outcome::Unknown(call.doubt(Doubt::HomeUnreachable));
-        }
-        Outcome::NotRun(call.refuse(reason, self.wait_after(reason), self.me.vm.clone()))
-    }
-
     /// Decides on a call for the own upstream.
     pub(crate) fn come_in(&mut self, cx: &mut Cx<'_>, key: CallKey, call: Call<Arrived>) {
         if *call.service() != self.me.service {
@@ -416,32 +371,6 @@
         self.take_steps(cx, steps);
     }
 
-    /// Whether a request that is about to begin is among those that can be finished at present.
-    ///
-    /// A call of a request that others have worked on is let through: to turn it away would waste
-    /// that work.
-    fn may_finish(&self, call: &Call<Arrived>, rank: RankIndex, draw: Draw) -> bool {
-        let has_begun = call.context().depth > 0;
-        has_begun || self.goodput.get(rank.index()).is_none_or(|goodput| goodput.admits(draw))
-    }
-
-    /// Notes how a whole request ended that the own upstream ran.
-    pub(crate) fn note_goodput(&mut self, cx: &mut Cx<'_>, key: CallKey, has_succeeded: bool) {
-        let Some(live) = self.live.get(key) else { return };
-        let Stage::Running(call) = &live.stage else { return };
-        if call.context().depth > 0 {
-            return;
-        }
-        let rank = call.context().rank.clone();
-        let Some(goodput) = self.goodput.get_mut(live.rank.index()) else { return };
-        let from = goodput.share().fraction();
-        goodput.observe(cx.now, has_succeeded);
-        let to = goodput.share().fraction();
-        if from != to {
-            cx.note(None, Some(rank), EventKind::ShareChanged { from, to });
-        }
-    }
-
     fn draw_of(&mut self, request: RequestId) -> Draw {
         if self.options.mechanisms.has_common_order {
             request.draw()
@@ -450,25 +379,6 @@
         }
     }
 
-    pub(crate) fn refuse(&self, call: Call<Arrived>, reason: Refusal) -> NotRun {
-        call.refuse(reason, self.wait_after(reason), self.me.vm.clone())
-    }
-
-    /// How long a caller should wait after a refusal.
-    ///
-    /// A gate that knows its places names the time until what waits now has been served, so that
-    /// callers come back when there is room for them.
-    pub(crate) fn wait_after(&self, reason: Refusal) -> Option<Duration> {
-        match reason {
-            Refusal::Unfinishable => Some(OVERLOAD_WAIT),
-            Refusal::Overload | Refusal::QueueFull | Refusal::TooLate if self.is_site_ruled => {
-                let last = RankIndex(self.policy.ranks.len() as u8 - 1);
-                Some(self.gate.expected_wait(last).clamp(SHORT_WAIT, OVERLOAD_WAIT))
-            }
-            reason => wait_after(reason),
-        }
-    }
-
     /// Notes that nobody waits for `ticket` any longer.
     pub(crate) fn caller_left(&mut self, cx: &mut Cx<'_>, ticket: Ticket) {
         debug_assert!(matches!(ticket.port, Port::Ingress | Port::Peers), "ports that wait");
--- a/crates/poplartrail-core/src/engine/calls.rs
+++ b/crates/poplartrail-core/src/engine/calls.rs
@@ -8,11 +8,11 @@
 use crate::{
     call::{Call, Refusal, RequestId, Share},
     engine::{
-        CallKey, Event, EventKind, Keeper, Life, Mechanisms, Output, Ticket,
+        CallKey, CallsOptions, Event, EventKind, Keeper, Life, Output, Ticket,
         live::{Live, Stage},
         timers::Timers,
     },
-    gate::{Fixed, Gate, GateOptions, Goodput, Gradient, Law},
+    gate::{Gate, GateOptions, Goodput, Gradient, Law},
     keys::{IdempotencyKey, Ledger},
     member::Member,
     names::{InstanceName, RankName, ServiceName, VmName},
@@ -33,88 +33,6 @@
 /// Highest first limit, whatever the upstream says of itself.
 const MAX_FIRST_LIMIT: usize = 64;
 
-/// Parameters of [`Calls`].
-#[derive(Debug, Clone)]
-pub struct CallsOptions {
-    pub(crate) law: Option<Law>,
-    pub(crate) has_shares: bool,
-    pub(crate) has_deadlines: bool,
-    pub(crate) mechanisms: Mechanisms,
-    pub(crate) max_calls: usize,
-    pub(crate) ledger_bytes: usize,
-    pub(crate) seed: u64,
-}
-
-impl Default for CallsOptions {
-    fn default() -> Self {
-        Self {
-            law: Some(Law::Gradient(Gradient::default())),
-            has_shares: true,
-            has_deadlines: true,
-            mechanisms: Mechanisms::default(),
-            max_calls: 4096,
-            ledger_bytes: 32 << 20,
-            seed: 0,
-        }
-    }
-}
-
-impl CallsOptions {
-    /// Starts from the defaults.
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    /// Sets the law of the limit; `None` admits everything.
-    #[must_use]
-    pub fn law(mut self, law: impl Into<Option<Law>>) -> Self {
-        self.law = law.into();
-        self
-    }
-
-    /// Sets whether capacity is divided among the ranks ahead of the queue.
-    #[must_use]
-    pub fn has_shares(mut self, has_shares: bool) -> Self {
-        self.has_shares = has_shares;
-        self
-    }
-
-    /// Sets whether calls that cannot finish in time are refused, and late ones ended.
-    #[must_use]
-    pub fn has_deadlines(mut self, has_deadlines: bool) -> Self {
-        self.has_deadlines = has_deadlines;
-        self
-    }
-
-    /// Sets the mechanisms that act across nodes.
-    #[must_use]
-    pub fn mechanisms(mut self, mechanisms: Mechanisms) -> Self {
-        self.mechanisms = mechanisms;
-        self
-    }
-
-    /// Sets the number of calls that may be in progress, waiting ones included.
-    #[must_use]
-    pub fn max_calls(mut self, max_calls: usize) -> Self {
-        self.max_calls = max_calls;
-        self
-    }
-
-    /// Sets the memory for outcomes of keys, in bytes.
-    #[must_use]
-    pub fn ledger_bytes(mut self, bytes: usize) -> Self {
-        self.ledger_bytes = bytes;
-        self
-    }
-
-    /// Sets the seed of the random choices.
-    #[must_use]
-    pub fn seed(mut self, seed: u64) -> Self {
-        self.seed = seed;
-        self
-    }
-}
-
 /// What a decision needs besides the calls themselves.
 pub(crate) struct Cx<'a> {
     pub(crate) now: Time,
@@ -135,10 +53,6 @@
     }
 }
 
-/// Largest difference between a call's deadline and that of the call it is made for: each hop
-/// states whole milliseconds, and a call takes up to a millisecond or two on its way.
-const DEADLINE_ROUNDING: Duration = Duration::from_millis(4);
-
 #[derive(Debug, Clone)]
 struct Called {
     service: ServiceName,
@@ -217,27 +131,6 @@
         calls
     }
 
-    /// Makes the routes and ranks of a site's configuration decide, and the upstream's own word on
-    /// its places the limit.
-    pub(crate) fn rule_by_site(&mut self) {
-        self.is_site_ruled = true;
-        self.upstream_closed = Some(Refusal::Starting);
-        self.router.keep_zone_and_probe();
-    }
-
-    /// Allows this node its part of the retries that `nodes` nodes may cause at once.
-    pub(crate) fn divide_retries(&mut self, nodes: usize) {
-        self.ratio.set_burst(self.policy.bounds.retry_burst / nodes as f64);
-    }
-
-    /// Whether the own upstream works on a call that ends, within a rounding of milliseconds, at
-    /// `deadline`.
-    pub(crate) fn runs_until(&self, deadline: Time) -> bool {
-        let range = deadline - DEADLINE_ROUNDING..=deadline + DEADLINE_ROUNDING;
-        let mut live = self.live.values();
-        live.any(|live| matches!(live.stage, Stage::Running(_)) && range.contains(&live.deadline))
-    }
-
     /// Number of calls in progress.
     pub fn len(&self) -> usize {
         self.live.len()
@@ -333,25 +226,6 @@
         self.probe_unreachable(cx);
     }
 
-    /// Tries the instances to which no connection could be opened.
-    fn probe_unreachable(&mut self, cx: &mut Cx<'_>) {
-        for (vm, to) in self.router.take_probes(cx.now) {
-            cx.out.push(Output::Probe { to, vm });
-        }
-    }
-
-    /// Sets which instance the upstream is, or why it takes no calls.
-    pub(crate) fn set_upstream(&mut self, state: Result<(InstanceName, usize), Refusal>) {
-        match state {
-            Ok((instance, slots)) => {
-                self.upstream_closed = None;
-                self.instance_name = Some(instance);
-                self.gate.set_law(Law::Fixed(Fixed::new(slots)));
-            }
-            Err(reason) => self.upstream_closed = Some(reason),
-        }
-    }
-
     fn own_shares(&self) -> Vec<Share> {
         (0..self.policy.ranks.len()).map(|r| self.gate.share(RankIndex(r as u8))).collect()
     }
--- a/crates/poplartrail-core/src/engine/mod.rs
+++ b/crates/poplartrail-core/src/engine/mod.rs
@@ -7,24 +7,29 @@
 mod appends;
 mod arrivals;
 mod calls;
+mod calls_options;
 mod ending;
 mod event;
 mod fixed_policy;
+mod hosted_calls;
 mod input;
 mod keeper;
 mod live;
 mod mechanisms;
 mod node;
+mod node_options;
 mod output;
 mod peer_call;
 mod phase;
+mod refusals;
 mod returns;
 mod routing;
 mod sending;
 mod timers;
 mod view;
 
-pub use calls::{Calls, CallsOptions};
+pub use calls::Calls;
+pub use calls_options::CallsOptions;
 pub use event::{Event, EventKind};
 pub use fixed_policy::FixedPolicy;
 pub use input::{
@@ -34,7 +39,8 @@
 pub use keeper::Keeper;
 pub use live::CallKey;
 pub use mechanisms::Mechanisms;
-pub use node::{Node, NodeOptions, PolicySource};
+pub use node::Node;
+pub use node_options::{NodeOptions, PolicySource};
 pub use output::Output;
 pub use peer_call::PeerCall;
 pub use phase::{Closing, Draining, Life, Phase, Serving, Starting};
--- a/crates/poplartrail-core/src/engine/node.rs
+++ b/crates/poplartrail-core/src/engine/node.rs
@@ -2,20 +2,17 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-
 use crate::{
-    config::{DocumentCheck, Snapshot},
+    config::Snapshot,
     engine::{
-        Calls, CallsOptions, EventKind, Input, InstanceView, Keeper, Life, LogBatch, NodeView,
-        Output, Phase, RankView, calls::Cx, routing::Hosted,
+        Calls, EventKind, Input, InstanceView, Keeper, Life, LogBatch, NodeOptions, NodeView,
+        Output, Phase, PolicySource, RankView, calls::Cx, routing::Hosted,
     },
     keys::{Home, IdempotencyKey},
     member::{Member, MemberRecord},
     names::{ServiceName, VmName},
-    policy::{Policy, RankIndex},
+    policy::RankIndex,
     route::{Instance, Standing},
-    site::SiteConfig,
     time::{Time, WallTime},
 };
 
@@ -24,33 +21,6 @@
 /// Tries to find a key whose home is here.
 const MINT_TRIES: usize = 4096;
 
-/// The port through which documents become a policy.
-pub trait PolicySource: DocumentCheck {
-    /// The policy of this node's site, or `None` while there is no base document.
-    fn policy(&self, keeper: &Keeper) -> Option<Policy>;
-
-    /// Reads the document of a site's configuration, or tells why it cannot be used.
-    fn site(&self, _document: &Bytes) -> Result<SiteConfig, Arc<str>> {
-        Err(Arc::from("this node has no reader for such documents: start it with --platform"))
-    }
-}
-
-/// Parameters of [`Node`].
-pub struct NodeOptions {
-    /// Who the node is.
-    pub me: Member,
-    /// The policy before any configuration has been read.
-    pub first_policy: Arc<Policy>,
-    /// Parameters of the calls.
-    pub calls: CallsOptions,
-    /// Time for which the log keeps records.
-    pub retention: Duration,
-    /// Nodes to ask while the platform log is down.
-    pub seeds: Vec<(VmName, SocketAddr)>,
-    /// How documents are checked and read.
-    pub source: Box<dyn PolicySource + Send>,
-}
-
 /// One node: its calls, its keeper and its phase.
 pub struct Node {
     pub(super) me: Member,
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/refusals.rs
@@ -0,0 +1,76 @@
+//! Refusals: what is said of a call that does not run, and when its caller may come again.
+
+use std::time::Duration;
+
+use crate::{
+    call::{Arrived, Call, Context, Doubt, NotRun, Outcome, Payload, Refusal, RetryBudget},
+    engine::{Arrival, Calls, EventKind, Origin, Output, calls::Cx},
+    policy::RankIndex,
+    route::GateReport,
+};
+
+/// Wait that a caller is asked for after a refusal for overload.
+const OVERLOAD_WAIT: Duration = Duration::from_secs(1);
+/// Wait that a caller is asked for after another temporary refusal.
+const SHORT_WAIT: Duration = Duration::from_millis(200);
+
+/// How long a caller should wait after a refusal.
+pub(crate) fn wait_after(reason: Refusal) -> Option<Duration> {
+    match reason {
+        Refusal::Overload | Refusal::QueueFull => Some(OVERLOAD_WAIT),
+        reason if reason.is_temporary() => Some(SHORT_WAIT),
+        _ => None,
+    }
+}
+
+impl Calls {
+    /// Refuses a call for which no place is kept.
+    pub(crate) fn turn_away(&mut self, cx: &mut Cx<'_>, arrival: &Arrival, reason: Refusal) {
+        let kind = EventKind::TurnedAway { reason, service: arrival.service.clone() };
+        cx.note(Some(arrival.request), arrival.rank.clone(), kind);
+        let context = Context {
+            request: arrival.request,
+            rank: self.policy.ranks.get(RankIndex(0)).name.clone(),
+            deadline: cx.now,
+            depth: 0,
+            effect: arrival.effect,
+            caller: None,
+        };
+        let call = Call::arrived(arrival.service.clone(), context, Payload::default());
+        let outcome = self.truthful_refusal(call, reason);
+        let unspent = match arrival.origin {
+            Origin::Peer { budget, .. } => budget,
+            _ => RetryBudget::default(),
+        };
+        let report = GateReport { unspent, ..GateReport::default() };
+        cx.out.push(Output::Reply { ticket: arrival.ticket, outcome, report });
+    }
+
+    /// "Not run", unless an earlier call with the same key may have run at its home.
+    pub(crate) fn truthful_refusal(&self, call: Call<Arrived>, reason: Refusal) -> Outcome {
+        let may_have_run = call.context().effect.key().is_some() && reason.is_temporary();
+        if may_have_run {
+            return Outcome::Unknown(call.doubt(Doubt::HomeUnreachable));
+        }
+        Outcome::NotRun(call.refuse(reason, self.wait_after(reason), self.me.vm.clone()))
+    }
+
+    pub(crate) fn refuse(&self, call: Call<Arrived>, reason: Refusal) -> NotRun {
+        call.refuse(reason, self.wait_after(reason), self.me.vm.clone())
+    }
+
+    /// How long a caller should wait after a refusal.
+    ///
+    /// A gate that knows its places names the time until what waits now has been served, so that
+    /// callers come back when there is room for them.
+    pub(crate) fn wait_after(&self, reason: Refusal) -> Option<Duration> {
+        match reason {
+            Refusal::Unfinishable => Some(OVERLOAD_WAIT),
+            Refusal::Overload | Refusal::QueueFull | Refusal::TooLate if self.is_site_ruled => {
+                let last = RankIndex(self.policy.ranks.len() as u8 - 1);
+                Some(self.gate.expected_wait(last).clamp(SHORT_WAIT, OVERLOAD_WAIT))
+            }
+            reason => wait_after(reason),
+        }
+    }
+}
--- a/crates/poplartrail-core/src/engine/returns.rs
+++ b/crates/poplartrail-core/src/engine/returns.rs
@@ -5,8 +5,8 @@
 use crate::{
     call::{Answer, Arrived, Call, Doubt, Effect, NotExecuted, Outcome, Refusal, Sent},
     engine::{
-        CallKey, Calls, Output, PeerFault, PeerOutcome, UpstreamFault, arrivals::wait_after,
-        calls::Cx, live::Stage,
+        CallKey, Calls, Output, PeerFault, PeerOutcome, UpstreamFault, calls::Cx, live::Stage,
+        refusals::wait_after,
     },
     gate::{Completion, Ending, GateStep, Place},
     route::GateReport,
--- a/crates/poplartrail-node/tests/hosted_path.rs
+++ b/crates/poplartrail-node/tests/hosted_path.rs
@@ -7,19 +7,9 @@
 const SITE: &str = include_str!("sites/small.json");
 const HOST: &str = "routes.example";
 
-fn one_node() -> (StandStore, StandInstance, HostedNode) {
-    let store = StandStore::start();
-    store.publish(SITE);
-    let instance = StandInstance::start("i-1");
-    let mut node = HostedNode::start("vm-1", "routes", &store, &instance);
-    node.await_ready();
-    assert_eq!(node.check_in(&instance, "ready"), 200);
-    (store, instance, node)
-}
-
 #[test]
 fn answer_is_passed_on() {
-    let (_store, instance, node) = one_node();
+    let (_store, instance, node) = HostedNode::single(SITE);
     let reply = node.caller().ask("GET", HOST, "/read/ok", "a1").expect("an answer");
     assert_eq!((reply.status, reply.body.as_str()), (200, "answer to a1"));
     assert_eq!(reply.headers["x-server-signature"], "s.a1");
@@ -36,7 +26,7 @@
 
 #[test]
 fn unknown_paths_are_refused() {
-    let (_store, instance, node) = one_node();
+    let (_store, instance, node) = HostedNode::single(SITE);
     for (host, path) in [(HOST, "/other/ok"), (HOST, "/read"), ("other.example", "/read/ok")] {
         let reply = node.caller().ask("GET", host, path, "b1").expect("an answer");
         assert_eq!(reply.status, 404, "{host}{path}");
@@ -64,7 +54,7 @@
 
 #[test]
 fn other_service_is_reached_through_its_node() {
-    let (store, _instance, node) = one_node();
+    let (store, _instance, node) = HostedNode::single(SITE);
     let instance = StandInstance::start("i-2");
     let mut other = HostedNode::start("vm-2", "swaps", &store, &instance);
     other.await_ready();
@@ -83,7 +73,7 @@
 
 #[test]
 fn pipelined_requests_run_at_once() {
-    let (_store, instance, node) = one_node();
+    let (_store, instance, node) = HostedNode::single(SITE);
     let mut caller = node.caller();
     let began = Instant::now();
     caller.send("GET", HOST, "/read/slow-900", "e1");
@@ -96,14 +86,14 @@
 
 #[test]
 fn late_request_is_given_up_at_its_timeout() {
-    let (_store, _instance, node) = one_node();
+    let (_store, _instance, node) = HostedNode::single(SITE);
     let reply = node.caller().ask("GET", HOST, "/short/slow-3000", "f1").expect("an answer");
     assert_eq!(reply.status, 504, "it ran, so it may not be called not run");
 }
 
 #[test]
 fn body_in_chunks_arrives_whole() {
-    let (_store, instance, node) = one_node();
+    let (_store, instance, node) = HostedNode::single(SITE);
     let mut caller = node.caller();
     caller.write(
         b"POST /book/ok HTTP/1.1\r\nhost: routes.example\r\nx-request-id: 91\r\n\
--- a/crates/poplartrail-node/tests/malformed_calls.rs
+++ b/crates/poplartrail-node/tests/malformed_calls.rs
@@ -1,6 +1,6 @@
 //! Bytes on a caller's connection that are no proper request.
 
-use poplartrail_stand::hosted::{HostedNode, StandInstance, StandStore};
+use poplartrail_stand::hosted::HostedNode;
 use test_case::test_case;
 
 const SITE: &str = include_str!("sites/small.json");
@@ -25,12 +25,7 @@
      content-length: 99999999\r\n\r\n", 413; "body beyond the limit"
 )]
 fn refused_and_served_on(bytes: &str, status: u16) {
-    let store = StandStore::start();
-    store.publish(SITE);
-    let instance = StandInstance::start("i-1");
-    let mut node = HostedNode::start("vm-1", "routes", &store, &instance);
-    node.await_ready();
-    assert_eq!(node.check_in(&instance, "ready"), 200);
+    let (_store, instance, node) = HostedNode::single(SITE);
 
     let mut caller = node.caller();
     caller.write(bytes.as_bytes());
--- a/crates/poplartrail-node/tests/spoilt_answers.rs
+++ b/crates/poplartrail-node/tests/spoilt_answers.rs
@@ -1,26 +1,16 @@
 //! Answers of an instance that are cut, doubled, foreign or missing.
 
-use poplartrail_stand::hosted::{HostedNode, StandInstance, StandStore};
+use poplartrail_stand::hosted::HostedNode;
 use test_case::test_case;
 
 const SITE: &str = include_str!("sites/small.json");
 const HOST: &str = "routes.example";
 
-fn one_node() -> (StandStore, StandInstance, HostedNode) {
-    let store = StandStore::start();
-    store.publish(SITE);
-    let instance = StandInstance::start("i-1");
-    let mut node = HostedNode::start("vm-1", "routes", &store, &instance);
-    node.await_ready();
-    assert_eq!(node.check_in(&instance, "ready"), 200);
-    (store, instance, node)
-}
-
 #[test_case("cut")]
 #[test_case("unsigned")]
 #[test_case("lost")]
 fn action_is_unknown_and_ran_once(how: &str) {
-    let (_store, instance, node) = one_node();
+    let (_store, instance, node) = HostedNode::single(SITE);
     let reply = node.caller().ask("POST", HOST, &format!("/book/{how}"), "a1").expect("an answer");
     assert_eq!(reply.status, 502, "neither success nor a promise");
     assert!(!reply.body.contains("answer to"), "{}", reply.body);
@@ -29,7 +19,7 @@
 
 #[test]
 fn lost_read_is_tried_again_within_its_attempts() {
-    let (_store, instance, node) = one_node();
+    let (_store, instance, node) = HostedNode::single(SITE);
     let reply = node.caller().ask("GET", HOST, "/read/lost", "b1").expect("an answer");
     assert_eq!(reply.status, 502);
     assert_eq!(instance.runs("b1"), 2, "the route allows two attempts");
@@ -37,7 +27,7 @@
 
 #[test]
 fn failure_of_the_instance_is_passed_on() {
-    let (_store, instance, node) = one_node();
+    let (_store, instance, node) = HostedNode::single(SITE);
     let reply = node.caller().ask("GET", HOST, "/read/500", "c1").expect("an answer");
     assert_eq!((reply.status, reply.body.as_str()), (500, "failed"));
     assert_eq!(instance.runs("c1"), 1);
@@ -45,7 +35,7 @@
 
 #[test]
 fn full_instance_is_not_run() {
-    let (_store, instance, node) = one_node();
+    let (_store, instance, node) = HostedNode::single(SITE);
     let reply = node.caller().ask("POST", HOST, "/book/full", "d1").expect("an answer");
     assert_eq!(reply.status, 503);
     assert_eq!(instance.runs("d1"), 0);
@@ -54,7 +44,7 @@
 #[test_case("extra")]
 #[test_case("foreign")]
 fn every_caller_gets_its_own_answer(how: &str) {
-    let (_store, _instance, node) = one_node();
+    let (_store, _instance, node) = HostedNode::single(SITE);
     let mut caller = node.caller();
     for turn in 0..20 {
         let id = format!("e{turn}");
--- a/crates/poplartrail-node/tests/store_faults.rs
+++ b/crates/poplartrail-node/tests/store_faults.rs
@@ -5,16 +5,6 @@
 const SITE: &str = include_str!("sites/small.json");
 const HOST: &str = "routes.example";
 
-fn one_node() -> (StandStore, StandInstance, HostedNode) {
-    let store = StandStore::start();
-    store.publish(SITE);
-    let instance = StandInstance::start("i-1");
-    let mut node = HostedNode::start("vm-1", "routes", &store, &instance);
-    node.await_ready();
-    assert_eq!(node.check_in(&instance, "ready"), 200);
-    (store, instance, node)
-}
-
 /// The configuration as version `version`, with the reads under another path.
 fn moved(version: &str) -> String {
     SITE.replace("00000007", version).replace("/read/", "/moved/")
@@ -26,7 +16,7 @@
 
 #[test]
 fn serving_goes_on_without_the_store() {
-    let (store, _instance, node) = one_node();
+    let (store, _instance, node) = HostedNode::single(SITE);
     store.set_down(true);
     assert_eq!(status(&node, "/read/ok", "a1"), 200);
     assert_eq!(node.readiness(), 200);
@@ -37,7 +27,7 @@
 
 #[test]
 fn older_version_never_comes_back() {
-    let (store, _instance, node) = one_node();
+    let (store, _instance, node) = HostedNode::single(SITE);
     store.publish(&moved("0000000a"));
     node.await_that("in force", || status(&node, "/moved/ok", "b1") == 200);
     store.publish(SITE);
@@ -52,7 +42,7 @@
 
 #[test]
 fn compaction_loses_nothing() {
-    let (store, _instance, node) = one_node();
+    let (store, _instance, node) = HostedNode::single(SITE);
     store.compact();
     store.publish(&moved("0000000a"));
     store.compact();
@@ -74,7 +64,7 @@
 
 #[test]
 fn foreign_records_hold_nothing_up() {
-    let (store, _instance, node) = one_node();
+    let (store, _instance, node) = HostedNode::single(SITE);
     store.put("keyed.members", b"vm-x", b"no member at all");
     store.put("keyed.members", b"", b"");
     store.put("keyed.op", b"other", b"\xff\xfe");
--- a/crates/poplartrail-node/tests/upstream_leaves.rs
+++ b/crates/poplartrail-node/tests/upstream_leaves.rs
@@ -1,26 +1,16 @@
 //! An instance that leaves, with and without notice, and heartbeats that come late.
 
-use poplartrail_stand::hosted::{HostedNode, StandInstance, StandStore};
+use poplartrail_stand::hosted::HostedNode;
 use serde_json::json;
 use test_case::test_case;
 
 const SITE: &str = include_str!("sites/small.json");
 const HOST: &str = "routes.example";
 
-fn one_node() -> (StandStore, StandInstance, HostedNode) {
-    let store = StandStore::start();
-    store.publish(SITE);
-    let instance = StandInstance::start("i-1");
-    let mut node = HostedNode::start("vm-1", "routes", &store, &instance);
-    node.await_ready();
-    assert_eq!(node.check_in(&instance, "ready"), 200);
-    (store, instance, node)
-}
-
 #[test_case(true; "it says that it is draining")]
 #[test_case(false; "it says only that it exits")]
 fn acknowledgement_closes_the_gate(has_notice: bool) {
-    let (store, instance, mut node) = one_node();
+    let (store, instance, mut node) = HostedNode::single(SITE);
     // The gate is closed whether or not the others can be told.
     store.set_down(true);
     let status =
@@ -36,7 +26,7 @@
 
 #[test]
 fn late_heartbeat_does_not_bring_it_back() {
-    let (_store, instance, mut node) = one_node();
+    let (_store, instance, mut node) = HostedNode::single(SITE);
     assert_eq!(node.check_in(&instance, "draining"), 200);
     let late = json!({
         "service": "routes", "address": instance.addr().to_string(), "zone": "zone-a",
@@ -59,7 +49,7 @@
 #[test_case(r#"{"service":"routes","address":"1.2.3.4:5","slots":4,"state":"asleep","seq":9}"#; "unknown state")]
 #[test_case(r#"{"service":"routes","address":7,"slots":"4","state":"ready","seq":9}"#; "other types")]
 fn malformed_heartbeat_names_no_instance(body: &str) {
-    let (_store, instance, mut node) = one_node();
+    let (_store, instance, mut node) = HostedNode::single(SITE);
     assert_eq!(node.put("i-9", body), 400);
     assert_eq!(node.caller().ask("GET", HOST, "/read/ok", "c1").expect("an answer").status, 200);
     assert_eq!(node.check_in(&instance, "ready"), 200);
@@ -68,7 +58,7 @@
 
 #[test]
 fn foreign_heartbeat_is_refused() {
-    let (_store, instance, node) = one_node();
+    let (_store, instance, node) = HostedNode::single(SITE);
     let other = json!({
         "service": "swaps", "address": instance.addr().to_string(), "slots": 4, "state": "draining",
         "seq": 99, "born": 9_000,
--- a/crates/poplartrail-stand/src/hosted/node.rs
+++ b/crates/poplartrail-stand/src/hosted/node.rs
@@ -38,6 +38,18 @@
 }
 
 impl HostedNode {
+    /// Starts a node of the service `routes` before an instance that has checked in, under the
+    /// configuration `site`.
+    pub fn single(site: &str) -> (StandStore, StandInstance, Self) {
+        let store = StandStore::start();
+        store.publish(site);
+        let instance = StandInstance::start("i-1");
+        let mut node = Self::start("vm-1", "routes", &store, &instance);
+        node.await_ready();
+        assert_eq!(node.check_in(&instance, "ready"), 200, "the heartbeat is taken");
+        (store, instance, node)
+    }
+
     /// Starts a node before `instance`.
     pub fn start(vm: &str, service: &str, store: &StandStore, instance: &StandInstance) -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
