--- a/crates/poplartrail-node/src/adapters/upstream/direct.rs
+++ b/crates/poplartrail-node/src/adapters/upstream/direct.rs
@@ -24,7 +24,7 @@
 /// Largest head of an answer.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
-/// Parameters of [`DirectDispatcher`].
+/// Parameters of the calls to an upstream that the platform runs.
 #[derive(Debug, Clone)]
 pub struct DirectOptions<C> {
     /// Address of the upstream.
