--- a/crates/poplartrail-stand/src/hosted/instance.rs
+++ b/crates/poplartrail-stand/src/hosted/instance.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread::sleep,
     time::Duration,
 };
@@ -25,12 +28,18 @@
     addr: SocketAddr,
     id: Arc<str>,
     runs: Arc<Mutex<HashMap<String, Vec<RequestHead>>>>,
+    ended: Arc<AtomicUsize>,
 }
 
 impl StandInstance {
     /// Starts an instance with the name `id`.
     pub fn start(id: &str) -> Self {
-        let instance = Self { addr: free_address(), id: Arc::from(id), runs: Arc::default() };
+        let instance = Self {
+            addr: free_address(),
+            id: Arc::from(id),
+            runs: Arc::default(),
+            ended: Arc::default(),
+        };
         let served = instance.clone();
         serve_each(instance.addr, move |connection| served.serve(connection));
         instance
@@ -57,6 +66,11 @@
         runs.get(id).cloned().unwrap_or_default()
     }
 
+    /// Requests whose work has come to its end.
+    pub fn ended(&self) -> usize {
+        self.ended.load(Ordering::SeqCst)
+    }
+
     /// Requests that have run.
     pub fn total_runs(&self) -> usize {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).values().map(Vec::len).sum()
@@ -104,6 +118,7 @@
             }
             None => {}
         }
+        self.ended.fetch_add(1, Ordering::SeqCst);
         match how {
             "500" => connection.write(&response(500, &fields, b"failed")),
             "unsigned" => {
--- a/crates/poplartrail-stand/src/hosted/node.rs
+++ b/crates/poplartrail-stand/src/hosted/node.rs
@@ -131,6 +131,14 @@
         caller.read().map_or(0, |reply| reply.status)
     }
 
+    /// Calls that its gate has in the instance, as its status page tells.
+    pub fn in_flight(&self) -> Option<u64> {
+        let mut caller = HostedCaller::try_connect(self.report)?;
+        caller.write(b"GET /status HTTP/1.1\r\nhost: n\r\n\r\n");
+        let status: serde_json::Value = serde_json::from_str(&caller.read()?.body).ok()?;
+        status["in_flight"].as_u64()
+    }
+
     /// Status of the readiness check; 0 without an answer.
     pub fn readiness(&self) -> u16 {
         let Some(mut caller) = HostedCaller::try_connect(self.ready) else { return 0 };
