--- a/crates/poplartrail-http/src/h1/connection.rs
+++ b/crates/poplartrail-http/src/h1/connection.rs
@@ -11,7 +11,7 @@
     time::{Instant, timeout},
 };
 
-use crate::h1::{BodyDecoder, ExchangeError, Framing, MessageError, ResponseHead, parse_response};
+use crate::h1::{BodyDecoder, ExchangeError, Framing, ResponseHead, parse_response};
 
 /// Room for one read, in bytes; most answers fit.
 const READ_BYTES: usize = 16 << 10;
@@ -179,12 +179,6 @@
     }
 }
 
-impl From<&MessageError> for ExchangeError {
-    fn from(err: &MessageError) -> Self {
-        ExchangeError::Spoilt(*err)
-    }
-}
-
 fn set_options(stream: &TcpStream, options: &ClientOptions) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let probes = TcpKeepalive::new()
