Count silence from content, not from bare acknowledgements

A connection at rest ends with a bare acknowledgement, which nobody answers; the next call after half a second sent three packets more and was taken, within one look of 25 ms, for half a second of silence. Its connection was replaced, and every call on it lost.

A pure watch in the core counts pieces of content, and leaves out the time in which the process did not run.

--- /dev/null
+++ b/crates/poplartrail-core/src/route/unheard.rs
@@ -0,0 +1,52 @@
+//! A watch for connections on which content goes out and nothing comes back.
+
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// Pieces of content that must have gone out unanswered. Lost content is repeated several times
+/// within a few round trips, so fewer pieces may be a single loss.
+const MIN_UNANSWERED: u64 = 3;
+/// Time between two looks from which on the watching process itself did not run; what came for it
+/// meanwhile has not been read.
+const STALLED: Duration = Duration::from_millis(100);
+
+/// What has passed over a connection since it was opened.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Packets that came in.
+    pub heard: u64,
+    /// Pieces of content that went out, each of which the other end has to acknowledge. Bare
+    /// acknowledgements are none: a connection at rest ends with one that nobody answers.
+    pub content: u64,
+}
+
+/// Watches one connection.
+#[derive(Debug, Clone, Default)]
+pub struct Unheard {
+    last: Traffic,
+    looked: Option<Time>,
+    since: Option<Time>,
+}
+
+impl Unheard {
+    /// Takes in what has passed by `now`, and returns whether content has been waiting for any
+    /// sign of the other end for `bound`.
+    pub fn is_silent(&mut self, now: Time, seen: Traffic, bound: Duration) -> bool {
+        let pause = self.looked.replace(now).map_or(Duration::ZERO, |at| now.since(at));
+        if seen.heard != self.last.heard {
+            self.last = seen;
+            self.since = None;
+            return false;
+        }
+        if seen.content == self.last.content {
+            return false;
+        }
+        let mut since = self.since.unwrap_or(now);
+        if pause >= STALLED {
+            since = now.min(since + pause);
+        }
+        self.since = Some(since);
+        now.since(since) >= bound && seen.content >= self.last.content + MIN_UNANSWERED
+    }
+}
