Move a VM that passed to another service out of the routes of the first

A refusal for the wrong service also takes the VM out until it announces itself, as a node that cannot read the store would go on calling it.

--- a/crates/poplartrail-core/src/engine/returns.rs
+++ b/crates/poplartrail-core/src/engine/returns.rs
@@ -9,7 +9,7 @@
         refusals::wait_after,
     },
     gate::{Completion, Ending, GateStep, Place},
-    route::GateReport,
+    route::{GateReport, InstanceKey},
 };
 
 /// Time for which no call goes to an upstream that took no connection.
@@ -219,9 +219,7 @@
             }
             PeerOutcome::Unknown(doubt) => self.peer_in_doubt(cx, key, call, doubt),
             PeerOutcome::NotRun { reason, retry_after, by } => {
-                if let (Refusal::Unsent | Refusal::Starting, Some(instance)) = (reason, instance) {
-                    self.router.note_failure(cx.now, instance);
-                }
+                self.note_refusal(cx, instance, reason);
                 if self.live[key].is_routed() && reason != Refusal::Rejected {
                     return self.move_on(cx, key, call.take_back(), reason, retry_after, by);
                 }
@@ -240,6 +238,17 @@
         }
     }
 
+    /// Takes in what a refusal says about the instance itself.
+    fn note_refusal(&mut self, cx: &Cx<'_>, instance: Option<InstanceKey>, reason: Refusal) {
+        let Some(instance) = instance else { return };
+        match reason {
+            Refusal::Unsent | Refusal::Starting => self.router.note_failure(cx.now, instance),
+            // The VM has passed to another service, and announces itself anew.
+            Refusal::UnknownService => self.router.note_draining(instance),
+            _ => {}
+        }
+    }
+
     fn peer_in_doubt(&mut self, cx: &mut Cx<'_>, key: CallKey, call: Call<Sent>, doubt: Doubt) {
         let is_lost = doubt == Doubt::AnswerLost && call.context().effect == Effect::Idempotent;
         if is_lost {
@@ -285,12 +294,7 @@
         });
     }
 
-    fn ask_newer_config(
-        &mut self,
-        cx: &mut Cx<'_>,
-        instance: crate::route::InstanceKey,
-        config: u64,
-    ) {
+    fn ask_newer_config(&mut self, cx: &mut Cx<'_>, instance: InstanceKey, config: u64) {
         if cx.keeper.wants_config(cx.now, config)
             && let Some(instance) = self.router.get(instance)
         {
--- a/crates/poplartrail-core/src/route/router.rs
+++ b/crates/poplartrail-core/src/route/router.rs
@@ -110,20 +110,25 @@
     }
 
     /// Adds an instance, or replaces the one on the same VM if its node started again.
+    ///
+    /// A VM may have passed to another service meanwhile.
     pub fn upsert(&mut self, service: &ServiceName, instance: Instance) -> InstanceKey {
-        if let Some(&key) = self.vms.get(&instance.vm) {
-            let known = &mut self.instances[key];
-            if instance.incarnation > known.incarnation {
-                let outstanding = known.outstanding;
-                *known = instance;
-                known.outstanding = outstanding;
-            } else if instance.incarnation == known.incarnation
-                && instance.standing == Standing::Draining
-            {
-                known.standing = Standing::Draining;
-            }
-            return key;
+        let Some(&key) = self.vms.get(&instance.vm) else { return self.insert(service, instance) };
+        let known = &mut self.instances[key];
+        if instance.incarnation > known.incarnation {
+            let outstanding = known.outstanding;
+            *known = instance;
+            known.outstanding = outstanding;
+            self.move_to(service, key);
+        } else if instance.incarnation == known.incarnation
+            && instance.standing == Standing::Draining
+        {
+            known.standing = Standing::Draining;
         }
+        key
+    }
+
+    fn insert(&mut self, service: &ServiceName, instance: Instance) -> InstanceKey {
         let vm = instance.vm.clone();
         let key = self.instances.insert(instance);
         self.vms.insert(vm, key);
@@ -131,6 +136,16 @@
         key
     }
 
+    fn move_to(&mut self, service: &ServiceName, key: InstanceKey) {
+        if self.services.get(service).is_some_and(|keys| keys.contains(&key)) {
+            return;
+        }
+        for keys in self.services.values_mut() {
+            keys.retain(|&k| k != key);
+        }
+        self.services.entry(service.clone()).or_default().push(key);
+    }
+
     /// Forgets the instance on `vm` if no call is in progress there.
     pub fn remove(&mut self, vm: &VmName) {
         let Some(&key) = self.vms.get(vm) else { return };
--- /dev/null
+++ b/crates/poplartrail-core/tests/reused_vm.rs
@@ -0,0 +1,43 @@
+//! A VM that passes from one service to another.
+
+use poplartrail_core::{
+    call::Draw,
+    names::{ServiceName, VmName, ZoneName},
+    policy::RankIndex,
+    route::{Choice, Instance, Router},
+    time::Time,
+};
+
+const NOW: Time = Time::from_millis(10);
+
+fn service(name: &str) -> ServiceName {
+    ServiceName::new(name).unwrap()
+}
+
+fn instance(incarnation: u64) -> Instance {
+    let (vm, zone) = (VmName::new("vm-4").unwrap(), ZoneName::new("zone-a").unwrap());
+    Instance::new(NOW, vm, zone, "127.0.0.1:7000".parse().unwrap(), incarnation, 1)
+}
+
+fn choice(router: &Router, name: &str) -> Choice {
+    router.choose(NOW, &service(name), RankIndex(0), Draw(0), None, 7)
+}
+
+#[test]
+fn vm_serves_only_its_newest_service() {
+    let mut router = Router::new(ZoneName::new("zone-a").unwrap());
+    let key = router.upsert(&service("stores"), instance(1));
+    assert_eq!(choice(&router, "stores"), Choice::Send(key));
+    let key = router.upsert(&service("billing"), instance(2));
+    assert_eq!(choice(&router, "billing"), Choice::Send(key));
+    assert_eq!(choice(&router, "stores"), Choice::Nobody);
+}
+
+#[test]
+fn late_word_of_the_older_service_changes_nothing() {
+    let mut router = Router::new(ZoneName::new("zone-a").unwrap());
+    router.upsert(&service("billing"), instance(2));
+    let key = router.upsert(&service("stores"), instance(1));
+    assert_eq!(choice(&router, "billing"), Choice::Send(key));
+    assert_eq!(choice(&router, "stores"), Choice::Nobody);
+}
