Tell other nodes when a process ends, and reset what its predecessor had open

A restarted node is at the same address. Now a process that ends closes its connections, and one that was killed resets them at the first packet, with a key that is the same at each start (RFC 9000, 10.3).

--- a/crates/poplartrail-node/src/adapters/peers/run.rs
+++ b/crates/poplartrail-node/src/adapters/peers/run.rs
@@ -1,6 +1,11 @@
 //! The loop of the peers thread.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::{SocketAddr, UdpSocket},
+    sync::Arc,
+    time::Duration,
+};
 
 use poplartrail_core::{
     engine::{CallKey, Input, Port},
@@ -8,8 +13,12 @@
     names::VmName,
 };
 use poplartrail_wire::call;
-use quinn::{ClientConfig, Endpoint, IdleTimeout, ServerConfig, TransportConfig, VarInt};
-use tokio::task::AbortHandle;
+use quinn::{
+    ClientConfig, Endpoint, EndpointConfig, IdleTimeout, ServerConfig, TokioRuntime,
+    TransportConfig, VarInt,
+};
+use quinn_proto::RandomConnectionIdGenerator;
+use tokio::{sync::watch, task::AbortHandle, time::timeout};
 
 use crate::{
     adapters::{
@@ -29,6 +38,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Calls that another node may have open on one connection.
 const MAX_STREAMS: u32 = 4096;
+/// Time in which other nodes are told that the connections end.
+const FAREWELL: Duration = Duration::from_millis(100);
 /// Finished sends after which the handles are looked through.
 const SWEEP_LEN: usize = 1024;
 
@@ -51,11 +62,12 @@
     pub clock: C,
 }
 
-/// Speaks with other nodes until the ring is closed.
+/// Speaks with other nodes until the ring is closed or `ended` says that the process ends.
 pub fn run<C: Clock + Sync>(
     options: PeersOptions<C>,
     inbox: &RingReader<PeersMessage>,
     decide: &Ring<DecideMessage>,
+    mut ended: watch::Receiver<bool>,
 ) {
     block_on(async move {
         let endpoint = match endpoint(&options) {
@@ -81,9 +93,13 @@
             pending,
             handles: HashMap::new(),
         };
-        sender.run(inbox).await;
+        tokio::select! {
+            () = sender.run(inbox) => {}
+            _ = ended.wait_for(|has_ended| *has_ended) => {}
+        }
         endpoint.close(0u32.into(), b"stopped");
-        endpoint.wait_idle().await;
+        // A node that does not hear it finds out by its next packet.
+        let _is_late = timeout(FAREWELL, endpoint.wait_idle()).await.is_err();
     });
 }
 
@@ -98,7 +114,12 @@
 fn endpoint<C>(options: &PeersOptions<C>) -> std::io::Result<Endpoint> {
     let mut server = ServerConfig::with_crypto(options.tls.server.clone());
     server.transport_config(transport());
-    Endpoint::server(server, options.listen)
+    let mut config = EndpointConfig::new(options.tls.reset_key.clone());
+    // Identifiers that the process before this one gave out must be taken for such, or their
+    // connections are not reset.
+    config.cid_generator(|| Box::<RandomConnectionIdGenerator>::default());
+    let socket = UdpSocket::bind(options.listen)?;
+    Endpoint::new(config, Some(server), socket, Arc::new(TokioRuntime))
 }
 
 async fn accept<C: Clock + Sync>(endpoint: Endpoint, receiver: Arc<Receiver<C>>) {
--- a/crates/poplartrail-node/src/adapters/peers/tls.rs
+++ b/crates/poplartrail-node/src/adapters/peers/tls.rs
@@ -5,10 +5,11 @@
 use poplartrail_core::names::VmName;
 use quick_error::quick_error;
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use ring::hmac;
 use rustls::{
     ClientConfig, RootCertStore, ServerConfig,
     client::verify_server_name,
-    crypto::{CryptoProvider, ring},
+    crypto::{CryptoProvider, ring as provider},
     server::{ParsedCertificate, WebPkiClientVerifier},
 };
 use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName, pem::PemObject};
@@ -17,6 +18,8 @@
 
 /// Protocol name that both ends state.
 const ALPN: &[u8] = b"poplartrail/1";
+/// Keeps the key of resets apart from other uses of the same secret.
+const RESET_KEY_LABEL: &[u8] = b"poplartrail/1 reset ";
 
 quick_error! {
     /// Certificates that cannot be used.
@@ -38,19 +41,23 @@
 pub struct PeersTls {
     pub(crate) server: Arc<QuicServerConfig>,
     pub(crate) client: Arc<QuicClientConfig>,
+    /// Signs the resets of connections that an earlier process of the node had; the same at each
+    /// start, so that the other end knows at the first packet (RFC 9000, 10.3).
+    pub(crate) reset_key: Arc<hmac::Key>,
 }
 
 impl PeersTls {
     /// Reads PEM texts.
     pub fn new(ca: &[u8], cert: &[u8], key: &[u8]) -> Result<Self, TlsError> {
-        let provider = Arc::new(ring::default_provider());
+        let provider = Arc::new(provider::default_provider());
         let roots = Arc::new(roots(ca)?);
         let chain = certs("cert", cert)?;
         let key = PrivateKeyDer::from_pem_slice(key)
             .map_err(|err| TlsError::Pem("key", err.to_string()))?;
+        let reset_key = reset_key(key.secret_der());
         let server = server_config(&provider, &roots, chain.clone(), key.clone_key())?;
         let client = client_config(&provider, &roots, chain, key)?;
-        Self::of(server, client)
+        Self::of(server, client, reset_key)
     }
 }
 
@@ -59,14 +66,15 @@
     ///
     /// For a platform that hands out no certificates and on whose network only its own machines
     /// speak. What passes between nodes is encrypted; that the other end is the node it says it
-    /// is rests on the platform's addresses.
+    /// is rests on the platform's addresses. Likewise anyone on that network who sees a connection
+    /// could reset it.
     pub fn for_process(vm: &VmName) -> Result<Self, TlsError> {
         let config = |err: &dyn std::fmt::Display| TlsError::Config(err.to_string());
         let made = rcgen::generate_simple_self_signed([vm.to_string()]);
         let made = made.map_err(|err| config(&err))?;
         let chain = vec![made.cert.der().clone()];
         let key = PrivateKeyDer::Pkcs8(made.signing_key.serialize_der().into());
-        let provider = Arc::new(ring::default_provider());
+        let provider = Arc::new(provider::default_provider());
         let any = Arc::new(AnyPeer(provider.signature_verification_algorithms));
         let server = ServerConfig::builder_with_provider(provider.clone())
             .with_protocol_versions(&[&rustls::version::TLS13])
@@ -81,20 +89,29 @@
             .with_custom_certificate_verifier(any)
             .with_client_auth_cert(chain, key)
             .map_err(|err| config(&err))?;
-        Self::of(server, client)
+        Self::of(server, client, reset_key(vm.as_str().as_bytes()))
     }
 
-    fn of(mut server: ServerConfig, mut client: ClientConfig) -> Result<Self, TlsError> {
+    fn of(
+        mut server: ServerConfig,
+        mut client: ClientConfig,
+        reset_key: hmac::Key,
+    ) -> Result<Self, TlsError> {
         let config = |err: &dyn std::fmt::Display| TlsError::Config(err.to_string());
         server.alpn_protocols = vec![ALPN.to_vec()];
         client.alpn_protocols = vec![ALPN.to_vec()];
         Ok(Self {
             server: Arc::new(QuicServerConfig::try_from(server).map_err(|err| config(&err))?),
             client: Arc::new(QuicClientConfig::try_from(client).map_err(|err| config(&err))?),
+            reset_key: Arc::new(reset_key),
         })
     }
 }
 
+fn reset_key(secret: &[u8]) -> hmac::Key {
+    hmac::Key::new(hmac::HMAC_SHA256, &[RESET_KEY_LABEL, secret].concat())
+}
+
 fn certs(what: &'static str, pem: &[u8]) -> Result<Vec<CertificateDer<'static>>, TlsError> {
     let certs: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(pem).collect();
     certs.map_err(|err| TlsError::Pem(what, err.to_string()))
--- a/crates/poplartrail-node/src/daemon/hosted.rs
+++ b/crates/poplartrail-node/src/daemon/hosted.rs
@@ -1,6 +1,10 @@
 //! The threads of a process that a platform runs.
 
-use std::{sync::Arc, thread::sleep, time::Duration};
+use std::{
+    sync::Arc,
+    thread::{JoinHandle, sleep},
+    time::Duration,
+};
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use poplartrail_core::{
@@ -62,7 +66,7 @@
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(DaemonError::Signals)?;
     let (closing_tx, closing) = watch::channel(false);
     let (stopped_tx, stopped) = watch::channel(false);
-    let decide = spawn(settings, clock, metrics, &closing, stopped_tx)?;
+    let threads = spawn(settings, clock, metrics, &closing, stopped_tx)?;
     spdlog::info!(
         "node {} of service {} in {} started", settings.vm, settings.service, settings.zone,
         kv: { event = "start", upstream = settings.upstream.to_string().as_str() }
@@ -70,27 +74,45 @@
     await_stop(signals);
     spdlog::info!("node {} is leaving", settings.vm, kv: { event = "stop" });
     closing_tx.send_replace(true);
-    leave(settings, &decide, &stopped);
+    leave(settings, &threads.decide, &stopped);
+    threads.hang_up();
     spdlog::info!("node {} stopped", settings.vm, kv: { event = "stopped" });
     Ok(())
 }
 
-/// Starts a thread for each duty and returns the way to the decide thread.
+/// What is needed of the threads to end the process.
+struct Threads {
+    decide: Ring<DecideMessage>,
+    peers: JoinHandle<()>,
+    ended: watch::Sender<bool>,
+}
+
+impl Threads {
+    /// Ends the connections to other nodes, so that none waits for an answer from here.
+    fn hang_up(self) {
+        self.ended.send_replace(true);
+        if self.peers.join().is_err() {
+            spdlog::warn!("the peers thread panicked: see the lines before");
+        }
+    }
+}
+
+/// Starts a thread for each duty.
 fn spawn(
     settings: &HostedSettings,
     clock: SystemClock,
     metrics: PrometheusHandle,
     closing: &watch::Receiver<bool>,
     stopped: decide::Stopped,
-) -> Result<Ring<DecideMessage>, DaemonError> {
+) -> Result<Threads, DaemonError> {
     let len = settings.limits.ring_len;
     let (decide_tx, decide_rx) = ring(len);
     let (ingress, front_rx) = ring(len);
-    let (peers, peers_rx) = ring(len);
+    let (peers_tx, peers_rx) = ring(len);
     let (upstream, upstream_rx) = ring(len);
     let (platform, store_rx) = ring(len);
     let (report, report_rx) = ring(len);
-    let outlets = Outlets { ingress, peers, upstream, platform, report };
+    let outlets = Outlets { ingress, peers: peers_tx, upstream, platform, report };
 
     let peers_options = peers_options(settings, clock)?;
     let node = node(settings, clock);
@@ -99,7 +121,8 @@
     let front_closing = closing.clone();
     thread("front", move || front::run(options, front_rx, &tx, &front_closing))?;
     let tx = decide_tx.clone();
-    thread("peers", move || peers::run(peers_options, &peers_rx, &tx))?;
+    let (ended, ended_rx) = watch::channel(false);
+    let peers = thread("peers", move || peers::run(peers_options, &peers_rx, &tx, ended_rx))?;
     let (tx, options) = (decide_tx.clone(), direct_options(settings, clock));
     thread("upstream", move || upstream::run_direct(options, &upstream_rx, &tx))?;
     let (tx, options) = (decide_tx.clone(), StoreOptions { addr: settings.store, clock });
@@ -107,7 +130,7 @@
     let (tx, options) = (decide_tx.clone(), report_options(settings, metrics));
     let report_closing = closing.clone();
     thread("report", move || report::run_hosted(options, report_rx, &tx, &report_closing))?;
-    Ok(decide_tx)
+    Ok(Threads { decide: decide_tx, peers, ended })
 }
 
 /// Waits, parked, for the signal to stop.
--- a/crates/poplartrail-node/src/daemon/start.rs
+++ b/crates/poplartrail-node/src/daemon/start.rs
@@ -47,6 +47,7 @@
     let (platform_tx, platform_rx) = ring(len);
     let (report_tx, report_rx) = ring(len);
     let (stopped_tx, mut stopped_rx) = watch::channel(false);
+    let (ended_tx, ended_rx) = watch::channel(false);
     let outlets = Outlets {
         ingress: ingress_tx,
         peers: peers_tx,
@@ -68,7 +69,8 @@
     let ingress_thread =
         thread("ingress", move || ingress::run(ingress_options, ingress_rx, &tx, &stopped))?;
     let tx = decide_tx.clone();
-    let peers_thread = thread("peers", move || peers::run(peers_options, &peers_rx, &tx))?;
+    let peers_thread =
+        thread("peers", move || peers::run(peers_options, &peers_rx, &tx, ended_rx))?;
     let tx = decide_tx.clone();
     thread("upstream", move || upstream::run(upstream_options, &upstream_rx, &tx))?;
     let tx = decide_tx.clone();
@@ -84,6 +86,7 @@
     await_stop(&mut stopped_rx, settings);
     // For a while other nodes still route here; they are told to go elsewhere.
     std::thread::sleep(settings.stop.linger);
+    ended_tx.send_replace(true);
     await_end(&[&ingress_thread, &report_thread, &peers_thread]);
     spdlog::info!("node {} stopped", settings.vm);
     Ok(())
