Log a caller that left as that, and let such lines not crowd out failures

Such a call is also no reason to break off a non-idempotent one at the end of the process without an answer.

--- a/crates/poplartrail-core/src/call/outcome.rs
+++ b/crates/poplartrail-core/src/call/outcome.rs
@@ -107,26 +107,29 @@
     #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
     pub enum Doubt {
         /// The call was dispatched and its answer did not arrive.
-        AnswerLost { display("the answer was lost: ask again with the same key") }
+        AnswerLost { display("the answer was lost: ask again with the same key, or look the action up") }
         /// The call was dispatched and its deadline passed.
-        DeadlinePassed { display("the deadline passed while the call ran: ask again with the same key") }
+        DeadlinePassed { display("the deadline passed while the call ran: ask again with the same key, or look the action up") }
         /// The key is older than the memory of its home.
         KeyForgotten { display("the key is older than the outcomes kept for it: look the action up at the service") }
         /// The key's home cannot be reached.
         HomeUnreachable { display("the key's home cannot be reached: ask again with the same key") }
         /// An earlier call with the key is still running.
         StillRunning { display("an earlier call with the key is running: ask again with the same key") }
+        /// The caller left before the answer came.
+        CallerLeft { display("its caller left before the answer came") }
     }
 }
 
 impl Doubt {
     /// Every doubt, in the order of their wire numbers.
-    pub const ALL: [Doubt; 5] = [
+    pub const ALL: [Doubt; 6] = [
         Doubt::AnswerLost,
         Doubt::DeadlinePassed,
         Doubt::KeyForgotten,
         Doubt::HomeUnreachable,
         Doubt::StillRunning,
+        Doubt::CallerLeft,
     ];
 }
 
--- a/crates/poplartrail-core/src/engine/arrivals.rs
+++ b/crates/poplartrail-core/src/engine/arrivals.rs
@@ -383,7 +383,7 @@
     pub(crate) fn caller_left(&mut self, cx: &mut Cx<'_>, ticket: Ticket) {
         debug_assert!(matches!(ticket.port, Port::Ingress | Port::Peers), "ports that wait");
         if let Some(&key) = self.tickets.get(&ticket) {
-            self.abandon(cx, key, Doubt::AnswerLost);
+            self.abandon(cx, key, Doubt::CallerLeft);
         }
     }
 }
--- a/crates/poplartrail-core/src/engine/ending.rs
+++ b/crates/poplartrail-core/src/engine/ending.rs
@@ -78,6 +78,7 @@
                 by: not_run.by().clone(),
                 share: self.path_share(cx.now, live.rank).fraction(),
             },
+            Outcome::Unknown(Unknown { doubt: Doubt::CallerLeft }) => EventKind::CallerLeft,
             Outcome::Unknown(unknown) => EventKind::InDoubt { why: unknown.doubt.to_string() },
         };
         cx.note(Some(live.request), rank, kind);
@@ -164,9 +165,9 @@
         if live.effect.key().is_some() && !is_last_look {
             return self.detach(cx, key, doubt);
         }
-        if live.effect == Effect::AtMostOnce && live.ticket.is_some() && doubt == Doubt::AnswerLost
-        {
-            // Its caller has left; breaking off the run would only leave its outcome in doubt.
+        let has_left = doubt == Doubt::CallerLeft;
+        if live.effect == Effect::AtMostOnce && live.ticket.is_some() && has_left {
+            // Breaking off the run would only leave its outcome in doubt.
             return self.let_run(key);
         }
         if doubt == Doubt::DeadlinePassed {
--- a/crates/poplartrail-core/src/engine/event.rs
+++ b/crates/poplartrail-core/src/engine/event.rs
@@ -74,6 +74,8 @@
         /// Why.
         why: String,
     },
+    /// A call was dropped because its caller left.
+    CallerLeft,
     /// The limit on calls in progress changed.
     LimitChanged {
         /// Before.
@@ -120,6 +122,12 @@
 }
 
 impl EventKind {
+    /// Whether the event explains no failed request by itself: it may be left out of a full log
+    /// before others are.
+    pub fn is_minor(&self) -> bool {
+        matches!(self, EventKind::CallerLeft | EventKind::Moved { .. })
+    }
+
     /// A short word for filters.
     pub fn word(&self) -> &'static str {
         match self {
@@ -129,6 +137,7 @@
             EventKind::UpstreamChanged { .. } => "upstream",
             EventKind::SiteRefused { .. } => "site-refused",
             EventKind::InDoubt { .. } => "in-doubt",
+            EventKind::CallerLeft => "caller-left",
             EventKind::LimitChanged { .. } => "limit",
             EventKind::ShareChanged { .. } => "share",
             EventKind::RouteChanged { .. } => "route",
@@ -160,6 +169,7 @@
             }
             EventKind::UpstreamChanged { instance: None, to } => write!(f, "upstream is {to}"),
             EventKind::SiteRefused { why } => write!(f, "configuration cannot be used: {why}"),
+            EventKind::CallerLeft => f.write_str("dropped, as its caller left"),
             EventKind::InDoubt { why } => write!(f, "not known whether it ran: {why}"),
             EventKind::LimitChanged { from, to } => write!(f, "limit {from} -> {to}"),
             EventKind::ShareChanged { from, to } => write!(f, "share {from:.3} -> {to:.3}"),
--- a/crates/poplartrail-node/src/adapters/report/allowance.rs
+++ b/crates/poplartrail-node/src/adapters/report/allowance.rs
@@ -30,6 +30,17 @@
         std::mem::take(&mut self.left_out)
     }
 
+    /// Takes one line for an event that tells of no failure, as long as half of the allowance is
+    /// left for those that do.
+    #[must_use]
+    pub fn take_minor(&mut self) -> bool {
+        if self.left <= self.per_window / 2 {
+            self.left_out += 1;
+            return false;
+        }
+        self.take()
+    }
+
     /// Takes one line, or counts it as left out and returns `false`.
     #[must_use]
     pub fn take(&mut self) -> bool {
--- a/crates/poplartrail-node/src/adapters/report/serve.rs
+++ b/crates/poplartrail-node/src/adapters/report/serve.rs
@@ -109,7 +109,8 @@
     if left_out > 0 {
         spdlog::warn!("{left_out} events left out", kv: { event = "left-out", at_ms });
     }
-    if !allowance.take() {
+    let is_taken = if kind.is_minor() { allowance.take_minor() } else { allowance.take() };
+    if !is_taken {
         return counter!("poplartrail_log_lines_left_out_total").increment(1);
     }
     match &message.event.rank {
--- a/crates/poplartrail-node/tests/line_bound.rs
+++ b/crates/poplartrail-node/tests/line_bound.rs
@@ -23,3 +23,12 @@
         assert!(allowance.take());
     }
 }
+
+#[test]
+fn minor_lines_leave_room_for_failures() {
+    let mut allowance = LineAllowance::new(10);
+    let minor = (0..100).filter(|_| allowance.take_minor()).count();
+    let failures = (0..100).filter(|_| allowance.take()).count();
+    assert_eq!((minor, failures), (5, 5));
+    assert_eq!(allowance.left_out_before(1_000), 190, "both are counted");
+}
