--- /dev/null
+++ b/crates/poplartrail-node/tests/peer_restart.rs
@@ -0,0 +1,43 @@
+//! A node that is back at its address: connections to the process before it end at once.
+
+use std::time::Duration;
+
+use poplartrail_stand::{
+    caller::Call,
+    fleet::{Fleet, FleetPlan, NodePlan},
+};
+use test_case::test_case;
+
+/// Requests before and after the restart.
+const REQUESTS: usize = 20;
+
+#[test_case(true; "killed")]
+#[test_case(false; "asked to stop")]
+fn no_connection_is_waited_for(is_killed: bool) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let plan = FleetPlan::new(include_str!("bases/chain.toml"))
+            .node(NodePlan::new("front-a1", "front", "zone-a").next("middle"))
+            .node(NodePlan::new("middle-a1", "middle", "zone-a"))
+            .extra_settings("[stop]\ndrain_s = 10\nlinger_ms = 100\n");
+        let mut fleet = Fleet::start(plan).await;
+        let caller = fleet.caller(0);
+        for _ in 0..REQUESTS {
+            assert_eq!(caller.send(&Call::get("/before")).await.unwrap().status, 200);
+        }
+        if !is_killed {
+            fleet.nodes[1].daemon.signal("TERM");
+            assert_eq!(fleet.nodes[1].daemon.wait(Duration::from_secs(30)), Some(0));
+        }
+        fleet.restart(1);
+        fleet.await_serving().await;
+        for _ in 0..REQUESTS {
+            // The first may find no instance yet, as the new start has to be announced.
+            caller.send(&Call::get("/after")).await.unwrap();
+        }
+        let log = fleet.log.to_string();
+        let args = ["timeline", "--json", "--log", &log, "--node", "front-a1", "--kind", "silent"];
+        let (code, silent) = fleet.tool(&args.map(str::to_owned));
+        assert_eq!((code, silent.trim()), (0, ""), "nothing waited for the process before");
+    });
+}
