Refuse a waiting call a little before its sender gives it up

The gate now ends it 20 ms earlier, with the truth.

Lines on requests in doubt now say where the request was and for how long, and requests answered after their target have a line of their own.

--- a/crates/poplartrail-core/src/engine/arrivals.rs
+++ b/crates/poplartrail-core/src/engine/arrivals.rs
@@ -77,6 +77,7 @@
             rank: inherited.rank,
             effect: arrival.effect,
             deadline: inherited.deadline,
+            arrived: cx.now,
             request: inherited.request,
             lent: inherited.budget,
             budget: inherited.budget,
@@ -369,6 +370,7 @@
             self.gate.offer(cx.now, offer, &mut steps);
         }
         self.take_steps(cx, steps);
+        self.watch_waiting(key);
     }
 
     fn draw_of(&mut self, request: RequestId) -> Draw {
--- a/crates/poplartrail-core/src/engine/ending.rs
+++ b/crates/poplartrail-core/src/engine/ending.rs
@@ -10,6 +10,7 @@
         live::{Live, Stage},
     },
     gate::Ending,
+    names::VmName,
     policy::RankIndex,
     route::GateReport,
     time::Time,
@@ -18,6 +19,10 @@
 /// Time past its deadline for which a non-idempotent call may go on, so that its outcome is known.
 const OUTCOME_GRACE: Duration = Duration::from_secs(30);
 
+/// Time that a refusal may take to the node that sent the call: a way across availability zones and
+/// a turn of a busy processor at both ends.
+const REFUSAL_TRAVEL: Duration = Duration::from_millis(20);
+
 /// Calls at a gate as parts of 1 024 of its limit.
 pub(crate) fn gate_load(in_flight: usize, queued: usize, limit: usize) -> u16 {
     let load = (in_flight + queued) as f64 / limit.max(1) as f64;
@@ -72,18 +77,42 @@
     fn note_outcome(&mut self, cx: &mut Cx<'_>, live: &Live, outcome: &Outcome) {
         let rank = Some(self.policy.ranks.get(live.rank).name.clone());
         let kind = match outcome {
-            Outcome::Answered(_) => return,
+            Outcome::Answered(_) => match self.lateness(cx.now, live) {
+                Some(after) => EventKind::Late { at: self.place_of(live), after },
+                None => return,
+            },
             Outcome::NotRun(not_run) => EventKind::Refused {
                 reason: not_run.reason(),
                 by: not_run.by().clone(),
                 share: self.path_share(cx.now, live.rank).fraction(),
             },
             Outcome::Unknown(Unknown { doubt: Doubt::CallerLeft }) => EventKind::CallerLeft,
-            Outcome::Unknown(unknown) => EventKind::InDoubt { why: unknown.doubt.to_string() },
+            Outcome::Unknown(unknown) => self.in_doubt(cx.now, live, unknown.doubt),
         };
         cx.note(Some(live.request), rank, kind);
     }
 
+    fn in_doubt(&self, now: Time, live: &Live, doubt: Doubt) -> EventKind {
+        EventKind::InDoubt {
+            why: doubt.to_string(),
+            at: self.place_of(live),
+            after: now.since(live.arrived),
+        }
+    }
+
+    /// The VM that a call was sent to, or the own one.
+    fn place_of(&self, live: &Live) -> VmName {
+        let instance = live.instance.and_then(|instance| self.router.get(instance));
+        instance.map_or_else(|| self.me.vm.clone(), |instance| instance.vm.clone())
+    }
+
+    /// How long a request took that began here, if that was more than its target.
+    fn lateness(&self, now: Time, live: &Live) -> Option<Duration> {
+        let begins_here = matches!(live.origin, Origin::Routed { is_begun: false, .. });
+        let after = now.since(live.arrived);
+        (begins_here && after > self.policy.ranks.get(live.rank).target).then_some(after)
+    }
+
     /// Whether other nodes should send their calls elsewhere from now on.
     fn takes_no_more(&self, cx: &Cx<'_>) -> bool {
         let is_leaving =
@@ -116,7 +145,7 @@
     /// Ends a call whose deadline has passed.
     pub(crate) fn expire(&mut self, cx: &mut Cx<'_>, key: CallKey) {
         let Some(live) = self.live.get(key) else { return };
-        if live.deadline > cx.now {
+        if self.lasts_until(live) > cx.now {
             return;
         }
         match &live.stage {
@@ -127,6 +156,28 @@
         }
     }
 
+    /// When a call ends if nothing else happens.
+    ///
+    /// One that waits here for another node ends a little earlier than there, so that its caller
+    /// still hears that it has not run.
+    fn lasts_until(&self, live: &Live) -> Time {
+        let waits_for_peer =
+            matches!((&live.stage, &live.origin), (Stage::Waiting(_), Origin::Peer { .. }));
+        if self.is_site_ruled && waits_for_peer {
+            return live.deadline - REFUSAL_TRAVEL;
+        }
+        live.deadline
+    }
+
+    /// Sets the timer of a call that waits in the queue.
+    pub(crate) fn watch_waiting(&mut self, key: CallKey) {
+        let Some(live) = self.live.get(key) else { return };
+        let end = self.lasts_until(live);
+        if end < live.deadline {
+            self.timers.set(end, key);
+        }
+    }
+
     /// Refuses every waiting call, because the node is leaving.
     pub(crate) fn leave_queue(&mut self, cx: &mut Cx<'_>) {
         let mut steps = Vec::new();
@@ -202,11 +253,12 @@
         live.deadline = cx.now + OUTCOME_GRACE;
         self.timers.set(live.deadline, key);
         let (rank, ticket, request) = (live.rank, live.ticket.take(), live.request);
+        let kind = self.in_doubt(cx.now, &self.live[key], doubt);
         let Some(ticket) = ticket else { return };
         self.tickets.remove(&ticket);
         let report = self.report(cx, rank, RetryBudget::default());
         let outcome = Outcome::Unknown(Unknown { doubt });
-        cx.note(Some(request), None, EventKind::InDoubt { why: doubt.to_string() });
+        cx.note(Some(request), None, kind);
         cx.out.push(Output::Reply { ticket, outcome, report });
     }
 
--- a/crates/poplartrail-core/src/engine/event.rs
+++ b/crates/poplartrail-core/src/engine/event.rs
@@ -1,6 +1,6 @@
 //! Events of the time line.
 
-use std::fmt;
+use std::{fmt, time::Duration};
 
 use crate::{
     call::{Refusal, RequestId},
@@ -73,6 +73,17 @@
     InDoubt {
         /// Why.
         why: String,
+        /// Where it was last.
+        at: VmName,
+        /// Time since it came to this node.
+        after: Duration,
+    },
+    /// A request was answered later than its target.
+    Late {
+        /// Where it ran.
+        at: VmName,
+        /// Time since it came to this node.
+        after: Duration,
     },
     /// A call was dropped because its caller left.
     CallerLeft,
@@ -125,7 +136,7 @@
     /// Whether the event explains no failed request by itself: it may be left out of a full log
     /// before others are.
     pub fn is_minor(&self) -> bool {
-        matches!(self, EventKind::CallerLeft | EventKind::Moved { .. })
+        matches!(self, EventKind::CallerLeft | EventKind::Moved { .. } | EventKind::Late { .. })
     }
 
     /// A short word for filters.
@@ -137,6 +148,7 @@
             EventKind::UpstreamChanged { .. } => "upstream",
             EventKind::SiteRefused { .. } => "site-refused",
             EventKind::InDoubt { .. } => "in-doubt",
+            EventKind::Late { .. } => "late",
             EventKind::CallerLeft => "caller-left",
             EventKind::LimitChanged { .. } => "limit",
             EventKind::ShareChanged { .. } => "share",
@@ -170,7 +182,12 @@
             EventKind::UpstreamChanged { instance: None, to } => write!(f, "upstream is {to}"),
             EventKind::SiteRefused { why } => write!(f, "configuration cannot be used: {why}"),
             EventKind::CallerLeft => f.write_str("dropped, as its caller left"),
-            EventKind::InDoubt { why } => write!(f, "not known whether it ran: {why}"),
+            EventKind::InDoubt { why, at, after } => {
+                write!(f, "not known whether it ran at {at}, {} ms: {why}", after.as_millis())
+            }
+            EventKind::Late { at, after } => {
+                write!(f, "answered late by {at}, {} ms", after.as_millis())
+            }
             EventKind::LimitChanged { from, to } => write!(f, "limit {from} -> {to}"),
             EventKind::ShareChanged { from, to } => write!(f, "share {from:.3} -> {to:.3}"),
             EventKind::RouteChanged { vm, what } => write!(f, "{vm} {what}"),
--- a/crates/poplartrail-core/src/engine/live.rs
+++ b/crates/poplartrail-core/src/engine/live.rs
@@ -50,6 +50,8 @@
     pub(crate) effect: Effect,
     /// Its deadline.
     pub(crate) deadline: Time,
+    /// When it came.
+    pub(crate) arrived: Time,
     /// The whole request that it belongs to.
     pub(crate) request: RequestId,
     /// What its parent lent to it.
--- a/crates/poplartrail-core/tests/hosted/mod.rs
+++ b/crates/poplartrail-core/tests/hosted/mod.rs
@@ -6,19 +6,20 @@
 
 use bytes::Bytes;
 use poplartrail_core::{
-    call::{Answer, Outcome, Payload, Refusal, RequestId},
+    call::{Answer, Effect, Outcome, Payload, Refusal, RequestId, RetryBudget, Share},
     config::{Document, DocumentCheck, DocumentId},
     engine::{
-        CallsOptions, Input, Keeper, Mechanisms, Node, NodeOptions, Output, PeerCall, PeerFault,
-        PeerOutcome, PolicySource, Port, RoutedRequest, Ticket,
+        Arrival, CallsOptions, Input, Keeper, Mechanisms, Node, NodeOptions, Origin, Output,
+        PeerCall, PeerFault, PeerOutcome, PolicySource, Port, RoutedRequest, Ticket,
     },
     keys::LeaseTerms,
     member::{Member, MemberRecord, MemberState},
-    names::{RankName, RouteName, ServiceName, VmName, ZoneName},
+    names::{InstanceName, RankName, RouteName, ServiceName, VmName, ZoneName},
     policy::{Bounds, Policy, Rank, Ranks},
     route::GateReport,
     site::{CallerLimits, HostRoutes, RouteRule, RouteTable, SiteConfig, SiteVersion, SplitPart},
     time::{Time, WallTime},
+    upstream::{CheckIn, ClaimedState},
 };
 
 /// VM of the instance in the node's own availability zone.
@@ -134,11 +135,51 @@
 
     /// Takes in what happened and returns what is to be done.
     pub(crate) fn handle(&mut self, input: Input) -> Vec<Output> {
+        self.handle_at(NOW, input)
+    }
+
+    /// Takes in what happened at `now`.
+    pub(crate) fn handle_at(&mut self, now: Time, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
-        self.node.handle(NOW, WALL, input, &mut out);
+        self.node.handle(now, WALL, input, &mut out);
         out
     }
 
+    /// Makes the own upstream say that it runs `slots` requests at a time.
+    pub(crate) fn open_upstream(&mut self, slots: usize) {
+        let check_in = CheckIn {
+            instance: InstanceName::new("i-1").unwrap(),
+            born: WALL,
+            sequence: 1,
+            service: service("front"),
+            addr: "127.0.0.1:8000".parse().unwrap(),
+            slots,
+            state: ClaimedState::Ready,
+            cold_left: Duration::ZERO,
+        };
+        self.node.check_in(NOW, WALL, &check_in, &mut Vec::new()).unwrap();
+    }
+
+    /// A call of another node for the own upstream.
+    pub(crate) fn arrive(&mut self, deadline: Time) -> Vec<Output> {
+        self.next += 1;
+        self.handle(Input::Arrive(Arrival {
+            ticket: Ticket { port: Port::Peers, id: self.next },
+            origin: Origin::Peer {
+                budget: RetryBudget::default(),
+                depth: 0,
+                passed: Share::FULL,
+                caller: Some(service("back")),
+            },
+            service: service("front"),
+            request: RequestId(u128::from(self.next)),
+            rank: None,
+            deadline: Some(deadline),
+            effect: Effect::AtMostOnce,
+            payload: Payload::default(),
+        }))
+    }
+
     /// Sends a request for `path`.
     pub(crate) fn request(&mut self, path: &str) -> Vec<Output> {
         self.next += 1;
