Let no call wait for a connection that does not open

A call waits 250 ms for a connection, goes elsewhere as not sent, and the VM is left out until a probe opens one. dead_member failed before with 504.

--- a/crates/poplartrail-node/src/adapters/peers/run.rs
+++ b/crates/poplartrail-node/src/adapters/peers/run.rs
@@ -36,6 +36,9 @@
 
 /// Time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Round trip that is assumed before one was measured, so that a lost first packet is sent again
+/// soon; nodes of one region answer within some milliseconds.
+const INITIAL_RTT: Duration = Duration::from_millis(50);
 /// Calls that another node may have open on one connection.
 const MAX_STREAMS: u32 = 4096;
 /// Time in which other nodes are told that the connections end.
@@ -107,6 +110,7 @@
     let mut transport = TransportConfig::default();
     transport.max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
     transport.max_concurrent_uni_streams(VarInt::from_u32(0));
+    transport.initial_rtt(INITIAL_RTT);
     transport.max_idle_timeout(IdleTimeout::try_from(IDLE_TIMEOUT).ok());
     Arc::new(transport)
 }
--- a/crates/poplartrail-node/src/adapters/peers/send.rs
+++ b/crates/poplartrail-node/src/adapters/peers/send.rs
@@ -8,6 +8,7 @@
     route::GateReport,
 };
 use poplartrail_wire::reply::{PeerReply, decode_reply};
+use quinn::Connection;
 use tokio::time::timeout;
 
 use crate::{
@@ -18,6 +19,10 @@
 /// Time within which a question that is no call must be answered.
 const ASK_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which a call waits for a connection before it may go to another node; several round
+/// trips and handshakes of a busy node. Opening goes on, for as long as a probe asks for it.
+const OPEN_PATIENCE: Duration = Duration::from_millis(250);
+
 /// Sends a call and reads its reply.
 pub(crate) async fn call(
     dialer: &Dialer,
@@ -26,7 +31,9 @@
     message: &[u8],
     max_bytes: usize,
 ) -> Result<(PeerOutcome, GateReport), PeerFault> {
-    match exchange(dialer, vm, to, message, max_bytes).await? {
+    let connection = timeout(OPEN_PATIENCE, dialer.connection(to, vm)).await;
+    let connection = connection.ok().flatten().ok_or(PeerFault::Unsent)?;
+    match exchange(&connection, message, max_bytes).await? {
         PeerReply::Call(outcome, report) => Ok((outcome, report)),
         _ => Err(PeerFault::Lost),
     }
@@ -41,8 +48,11 @@
     max_bytes: usize,
     decide: &Ring<DecideMessage>,
 ) {
-    let reply = timeout(ASK_TIMEOUT, exchange(dialer, vm, to, message, max_bytes)).await;
-    let input = match reply {
+    let exchange = async {
+        let connection = dialer.connection(to, vm).await.ok_or(PeerFault::Unsent)?;
+        exchange(&connection, message, max_bytes).await
+    };
+    let input = match timeout(ASK_TIMEOUT, exchange).await {
         Ok(Ok(PeerReply::Config(snapshot))) => Input::PeerConfig(snapshot),
         Ok(Ok(PeerReply::Members(members))) => Input::PeerMembers(members),
         _ => return,
@@ -64,13 +74,10 @@
 }
 
 async fn exchange(
-    dialer: &Dialer,
-    vm: &VmName,
-    to: SocketAddr,
+    connection: &Connection,
     message: &[u8],
     max_bytes: usize,
 ) -> Result<PeerReply, PeerFault> {
-    let connection = dialer.connection(to, vm).await.ok_or(PeerFault::Unsent)?;
     let (mut tx, mut rx) = connection.open_bi().await.map_err(|_| PeerFault::Unsent)?;
     tx.write_all(message).await.map_err(|_| PeerFault::Lost)?;
     tx.finish().map_err(|_| PeerFault::Lost)?;
