--- a/crates/poplartrail-cli/src/commands/timeline.rs
+++ b/crates/poplartrail-cli/src/commands/timeline.rs
@@ -1,6 +1,8 @@
 //! `timeline`: the events of all nodes in one order.
 
+use poplartrail_core::call::RequestId;
 use serde_json::Value;
+use uuid::Uuid;
 
 use crate::{
     Exit,
@@ -43,7 +45,14 @@
     let is = |wanted: &Option<String>, field: &str| {
         wanted.as_deref().is_none_or(|wanted| event[field].as_str() == Some(wanted))
     };
-    is(&options.request, "request") && is(&options.rank, "rank") && is(&options.kind, "kind")
+    let is_of = |stated: &String| {
+        let request = event["request"].as_str();
+        request == Some(stated)
+            || request == Some(&Uuid::from_u128(RequestId::of_text(stated).0).to_string())
+    };
+    options.request.as_ref().is_none_or(is_of)
+        && is(&options.rank, "rank")
+        && is(&options.kind, "kind")
 }
 
 /// By time; events of one node keep their own order whatever its clock does.
--- a/crates/poplartrail-cli/src/options.rs
+++ b/crates/poplartrail-cli/src/options.rs
@@ -46,7 +46,7 @@
     #[bpaf(external(options_fields))]
     /// Where the fleet is found.
     pub fleet: Options,
-    /// Only events of this request
+    /// Only events of this request, by its identity as the caller stated it
     #[bpaf(argument("UUID"))]
     pub request: Option<String>,
     /// Only events of the node on this VM
--- a/crates/poplartrail-node/tests/operator_tools.rs
+++ b/crates/poplartrail-node/tests/operator_tools.rs
@@ -70,6 +70,15 @@
     assert!(events.iter().all(|event| event["kind"] == "refused"));
     assert!(text.contains("no-such-rank"), "what was refused and why: {text}");
     assert_eq!(tool(&fleet, "timeline", &["--none"]).0, 2, "wrong use");
+
+    let refused = refused.field("poplartrail-request", id);
+    assert_eq!(fleet.caller(0).send(&refused).await.unwrap().status, 400);
+    // The same identity as a UUID and as a number.
+    for stated in [id.to_owned(), id.replace('-', "")] {
+        let (_, text) = tool(&fleet, "timeline", &["--json", "--request", &stated]);
+        let events = lines(&text);
+        assert!(!events.is_empty() && events.iter().all(|event| event["request"] == id), "{text}");
+    }
 }
 
 #[tokio::test]
