--- a/crates/poplartrail-node/src/adapters/peers/dial.rs
+++ b/crates/poplartrail-node/src/adapters/peers/dial.rs
@@ -42,13 +42,23 @@
     }
 
     /// The connection to `vm` at `to`, or `None` if none can be opened in time.
+    ///
+    /// Opening goes on if the caller gives up, so that a later call finds the connection open.
     pub(crate) async fn connection(&self, to: SocketAddr, vm: &VmName) -> Option<Connection> {
         let cell = self.cell(to);
-        let connection = cell.get_or_try_init(|| self.open(to, vm)).await;
-        match connection {
+        if let Some(connection) = cell.get() {
+            return Some(connection.clone());
+        }
+        let (dialer, vm) = (self.clone(), vm.clone());
+        let opening = tokio::spawn(async move { dialer.fill(&cell, to, &vm).await });
+        opening.await.ok().flatten()
+    }
+
+    async fn fill(&self, cell: &Cell, to: SocketAddr, vm: &VmName) -> Option<Connection> {
+        match cell.get_or_try_init(|| self.open(to, vm)).await {
             Ok(connection) => Some(connection.clone()),
             Err(()) => {
-                self.drop_cell(to, &cell);
+                self.drop_cell(to, cell);
                 None
             }
         }
--- a/crates/poplartrail-node/src/adapters/peers/send.rs
+++ b/crates/poplartrail-node/src/adapters/peers/send.rs
@@ -20,7 +20,7 @@
 const ASK_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time for which a call waits for a connection before it may go to another node; several round
-/// trips and handshakes of a busy node. Opening goes on, for as long as a probe asks for it.
+/// trips and handshakes of a busy node. Opening goes on meanwhile.
 const OPEN_PATIENCE: Duration = Duration::from_millis(250);
 
 /// Sends a call and reads its reply.
