Find the nodes of a platform through its store

status and timeline took the address of our own log only, which no platform has. The store's client moves into a crate of its own, as node and tool share it; its behaviour is as before.

--- a/crates/poplartrail-cli/src/commands/mod.rs
+++ b/crates/poplartrail-cli/src/commands/mod.rs
@@ -14,13 +14,13 @@
         Command::Check { json, base, overlays } => check::run(json, &base, &overlays),
         Command::Publish(options) => publish::run(&options).await,
         Command::Verdict { fleet, change } => verdict::run(&fleet, &change).await,
-        Command::Status { fleet } => status::run(&fleet).await,
+        Command::Status { nodes } => status::run(&nodes).await,
         Command::Timeline(options) => timeline::run(&options).await,
     }
 }
 
-/// Says why the log cannot be read.
-fn out_of_reach(err: &poplartrail_http::LogError) -> Exit {
+/// Says why the log or the store cannot be read.
+fn out_of_reach(err: &impl std::fmt::Display) -> Exit {
     eprintln!("poplartrail: {err}");
     Exit::OutOfReach
 }
--- a/crates/poplartrail-cli/src/commands/status.rs
+++ b/crates/poplartrail-cli/src/commands/status.rs
@@ -3,13 +3,14 @@
 use serde_json::{Value, json};
 
 use crate::{
-    Exit, Options,
+    Exit,
     commands::out_of_reach,
-    fleet::{FleetReader, pages},
+    fleet::{members_at, pages},
+    options::Nodes,
 };
 
-pub(crate) async fn run(options: &Options) -> Exit {
-    let members = match FleetReader::members_at(options.log).await {
+pub(crate) async fn run(options: &Nodes) -> Exit {
+    let members = match members_at(&options.registry).await {
         Ok(members) => members,
         Err(err) => return out_of_reach(&err),
     };
--- a/crates/poplartrail-cli/src/commands/timeline.rs
+++ b/crates/poplartrail-cli/src/commands/timeline.rs
@@ -7,12 +7,12 @@
 use crate::{
     Exit,
     commands::out_of_reach,
-    fleet::{FleetReader, pages},
+    fleet::{members_at, pages},
     options::Timeline,
 };
 
 pub(crate) async fn run(options: &Timeline) -> Exit {
-    let members = match FleetReader::members_at(options.fleet.log).await {
+    let members = match members_at(&options.nodes.registry).await {
         Ok(members) => members,
         Err(err) => return out_of_reach(&err),
     };
@@ -32,7 +32,7 @@
     .await;
     events.sort_by_key(order);
     for event in &events {
-        println!("{}", if options.fleet.json { event.to_string() } else { line(event) });
+        println!("{}", if options.nodes.json { event.to_string() } else { line(event) });
     }
     if has_all { Exit::Done } else { Exit::Unknown }
 }
--- a/crates/poplartrail-cli/src/fleet.rs
+++ b/crates/poplartrail-cli/src/fleet.rs
@@ -10,10 +10,16 @@
     time::WallTime,
 };
 use poplartrail_http::{LogClient, LogError, WholeClient, client, get};
+use poplartrail_platform::store::MEMBERS_TOPIC;
 use poplartrail_settings::document::{BaseDocument, SiteDocuments};
+use poplartrail_store::{StoreClient, StoreError};
+use poplartrail_wire::member::decode_member_record;
+use quick_error::quick_error;
 use tokio::sync::Semaphore;
 
-/// Time after which a request to the log counts as unanswered.
+use crate::options::Registry;
+
+/// Time after which a request to the log or the store counts as unanswered.
 const LOG_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after which a node counts as out of reach.
 const NODE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -46,11 +52,6 @@
         })
     }
 
-    /// The members that the log at `addr` announces.
-    pub(crate) async fn members_at(addr: SocketAddr) -> Result<Vec<Member>, LogError> {
-        Self::new(addr)?.members().await
-    }
-
     /// Reads the configuration stream to its end.
     pub(crate) async fn read_config(&mut self) -> Result<(), LogError> {
         loop {
@@ -122,6 +123,40 @@
     }
 }
 
+quick_error! {
+    /// The nodes cannot be found.
+    #[derive(Debug)]
+    pub enum RegistryError {
+        /// The platform log does not tell.
+        Log(err: LogError) {
+            from()
+            display("{}", err)
+        }
+        /// The platform's store does not tell.
+        Store(err: StoreError) {
+            from()
+            display("{}: check the address given with --store", err)
+        }
+    }
+}
+
+/// The members that `registry` lists.
+pub(crate) async fn members_at(registry: &Registry) -> Result<Vec<Member>, RegistryError> {
+    match registry {
+        Registry::Log { log } => Ok(FleetReader::new(*log)?.members().await?),
+        Registry::Store { store } => {
+            let newest = StoreClient::new(*store).newest(MEMBERS_TOPIC, LOG_TIMEOUT).await?;
+            let members = newest.records.iter().filter_map(|record| {
+                // What another writer left names no node.
+                decode_member_record(&record.value).ok().map(|record| record.member)
+            });
+            let mut members: Vec<Member> = members.collect();
+            members.sort_by(|a, b| a.vm.cmp(&b.vm));
+            Ok(members)
+        }
+    }
+}
+
 /// Reads the page `path` of each member and hands it over; `None` for one that is out of reach.
 ///
 /// Few are asked at once, so a large fleet takes neither all connections that the tool may open
--- a/crates/poplartrail-cli/src/options.rs
+++ b/crates/poplartrail-cli/src/options.rs
@@ -15,6 +15,35 @@
     pub json: bool,
 }
 
+/// Where the nodes announce themselves.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(registry))]
+pub enum Registry {
+    /// In the platform log.
+    Log {
+        /// Address of the platform log
+        #[bpaf(argument("ADDRESS"))]
+        log: SocketAddr,
+    },
+    /// In the store of a platform that runs the nodes.
+    Store {
+        /// Address of the platform's store, for nodes that run with --platform
+        #[bpaf(argument("ADDRESS"))]
+        store: SocketAddr,
+    },
+}
+
+/// The nodes that are asked.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(nodes))]
+pub struct Nodes {
+    #[bpaf(external(registry))]
+    /// Where they announce themselves.
+    pub registry: Registry,
+    /// Print JSON instead of text
+    pub json: bool,
+}
+
 /// Publishes a document.
 #[derive(Debug, Clone, Bpaf)]
 pub struct Publish {
@@ -43,11 +72,11 @@
 /// Filters of the time line.
 #[derive(Debug, Clone, Bpaf)]
 pub struct Timeline {
-    #[bpaf(external(options_fields))]
-    /// Where the fleet is found.
-    pub fleet: Options,
+    #[bpaf(external(nodes))]
+    /// The nodes.
+    pub nodes: Nodes,
     /// Only events of this request, by its identity as the caller stated it
-    #[bpaf(argument("UUID"))]
+    #[bpaf(argument("ID"))]
     pub request: Option<String>,
     /// Only events of the node on this VM
     #[bpaf(argument("VM"))]
@@ -91,9 +120,9 @@
     /// Show each node's version in force, limits and ranks
     #[bpaf(command)]
     Status {
-        #[bpaf(external(options_fields))]
-        /// Where the fleet is found.
-        fleet: Options,
+        #[bpaf(external(nodes))]
+        /// The nodes.
+        nodes: Nodes,
     },
     /// Show the events of all nodes as one time line
     #[bpaf(command)]
--- a/crates/poplartrail-node/src/adapters/store/announce.rs
+++ b/crates/poplartrail-node/src/adapters/store/announce.rs
@@ -6,16 +6,11 @@
 use http::StatusCode;
 use poplartrail_core::member::MemberRecord;
 use poplartrail_platform::store::{KeyedRecord, MEMBERS_TOPIC, append};
+use poplartrail_store::{StoreClient, StoreError};
 use poplartrail_wire::member::encode_member_record;
 use tokio::{sync::watch, time::sleep};
 
-use crate::{
-    adapters::store::{
-        backoff::Backoff,
-        client::{StoreClient, StoreError},
-    },
-    ports::Clock,
-};
+use crate::{adapters::store::backoff::Backoff, ports::Clock};
 
 /// Time within which the store must answer; it takes milliseconds when it is well.
 const ANSWER_TIME: Duration = Duration::from_secs(2);
--- a/crates/poplartrail-node/src/adapters/store/follow.rs
+++ b/crates/poplartrail-node/src/adapters/store/follow.rs
@@ -6,16 +6,14 @@
 use http::StatusCode;
 use poplartrail_core::engine::Input;
 use poplartrail_platform::store::{
-    CONFIG_KEY, KeyedRecord, MEMBERS_TOPIC, OPERATOR_TOPIC, newest, read, read_newest, read_records,
+    CONFIG_KEY, KeyedRecord, MEMBERS_TOPIC, OPERATOR_TOPIC, read, read_records,
 };
+use poplartrail_store::{StoreClient, StoreError};
 use poplartrail_wire::member::decode_member_record;
 use tokio::time::sleep;
 
 use crate::{
-    adapters::store::{
-        backoff::Backoff,
-        client::{StoreClient, StoreError},
-    },
+    adapters::store::backoff::Backoff,
     ports::{DecideMessage, Ring},
 };
 
@@ -95,28 +93,11 @@
     }
 
     async fn read_newest(&mut self) -> Result<bool, StoreError> {
-        let mut after = None;
-        let mut start = None;
-        loop {
-            let call = newest(self.topic.name(), after.as_deref());
-            let page = match self.client.call(&call, ANSWER_TIME).await {
-                // Nobody has written to the topic yet.
-                Err(StoreError::Refused(StatusCode::NOT_FOUND)) => {
-                    self.next = Some(0);
-                    return Ok(false);
-                }
-                result => read_newest(&result?)?,
-            };
-            // Pages are no snapshot: what is written meanwhile is read again from the first end.
-            start.get_or_insert(page.end);
-            self.hand_over(page.records).await;
-            match page.after {
-                Some(key) => after = Some(key),
-                None => break,
-            }
-        }
-        self.next = start;
-        Ok(true)
+        let newest = self.client.newest(self.topic.name(), ANSWER_TIME).await?;
+        self.next = Some(newest.next);
+        let has_records = !newest.records.is_empty();
+        self.hand_over(newest.records).await;
+        Ok(has_records)
     }
 
     async fn read_on(&mut self, from: u64) -> Result<bool, StoreError> {
--- a/crates/poplartrail-node/src/adapters/store/mod.rs
+++ b/crates/poplartrail-node/src/adapters/store/mod.rs
@@ -2,7 +2,6 @@
 
 mod announce;
 mod backoff;
-mod client;
 mod follow;
 mod run;
 
--- a/crates/poplartrail-node/src/adapters/store/client.rs
+++ b/crates/poplartrail-store/src/client.rs
@@ -6,10 +6,11 @@
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use metrics::counter;
 use poplartrail_http::h1::{ClientConnection, ClientOptions, ExchangeError, write_request};
-use poplartrail_platform::store::StoreCall;
-use quick_error::quick_error;
+use poplartrail_platform::store::{KeyedRecord, StoreCall, newest, read_newest};
 use tokio::time::timeout;
 
+use crate::StoreError;
+
 /// Time within which the store must take a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two probes of a connection on which an answer is awaited, so that one that has
@@ -20,50 +21,58 @@
 /// Largest answer; the store sends at most a mebibyte, and JSON of as much again.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
-quick_error! {
-    /// A call without a useful answer.
-    #[derive(Debug, Clone, PartialEq, Eq)]
-    pub enum StoreError {
-        /// The store could not be reached or did not answer; the call may have taken effect.
-        Unanswered(why: String) {
-            display("the store did not answer ({})", why)
-        }
-        /// The store refused.
-        Refused(status: StatusCode) {
-            display("the store refused with {}", status)
-        }
-        /// The answer does not have the platform's form.
-        Format(err: poplartrail_platform::FormatError) {
-            from()
-            display("{}", err)
-        }
-    }
-}
-
-impl From<ExchangeError> for StoreError {
-    fn from(err: ExchangeError) -> Self {
-        StoreError::Unanswered(err.to_string())
-    }
+/// The newest record of each key of a topic.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Newest {
+    /// The records.
+    pub records: Vec<KeyedRecord>,
+    /// Offset from which on the topic is to be read for what was written meanwhile.
+    pub next: u64,
 }
 
 /// A client with one connection, which is replaced after any failure.
 #[derive(Debug)]
-pub(crate) struct StoreClient {
+pub struct StoreClient {
     addr: SocketAddr,
     connection: Option<ClientConnection>,
 }
 
 impl StoreClient {
-    pub(crate) fn new(addr: SocketAddr) -> Self {
+    /// A client of the store at `addr`.
+    pub fn new(addr: SocketAddr) -> Self {
         Self { addr, connection: None }
     }
 
+    /// Reads the newest record of each key of `topic`, each page within `within`.
+    ///
+    /// # Errors
+    ///
+    /// The store did not answer, or not in its form. A topic to which nobody has written yet is
+    /// empty.
+    pub async fn newest(&mut self, topic: &str, within: Duration) -> Result<Newest, StoreError> {
+        let mut all: Option<Newest> = None;
+        let mut after = None;
+        loop {
+            let page = match self.call(&newest(topic, after.as_deref()), within).await {
+                Err(StoreError::Refused(StatusCode::NOT_FOUND)) => return Ok(Newest::default()),
+                result => read_newest(&result?)?,
+            };
+            // Pages are no snapshot: what is written meanwhile is read again from the first end.
+            let all = all.get_or_insert(Newest { records: Vec::new(), next: page.end });
+            all.records.extend(page.records);
+            match page.after {
+                Some(key) => after = Some(key),
+                None => return Ok(std::mem::take(all)),
+            }
+        }
+    }
+
     /// Makes a call that must be answered within `within`.
-    pub(crate) async fn call(
-        &mut self,
-        call: &StoreCall,
-        within: Duration,
-    ) -> Result<Bytes, StoreError> {
+    ///
+    /// # Errors
+    ///
+    /// The store refused, or did not answer, in which case the call may have taken effect.
+    pub async fn call(&mut self, call: &StoreCall, within: Duration) -> Result<Bytes, StoreError> {
         counter!("poplartrail_store_calls_total").increment(1);
         let result = timeout(within, self.exchange(call)).await;
         let result = result.unwrap_or_else(|_| {
