--- a/crates/poplartrail-core/src/engine/routing.rs
+++ b/crates/poplartrail-core/src/engine/routing.rs
@@ -194,7 +194,7 @@
         out: &mut Vec<Output>,
     ) {
         let Some(hosted) = &mut self.hosted else { return };
-        let change = hosted.upstream.depart(departure);
+        let change = hosted.upstream.depart(departure, wall);
         self.upstream_changed(now, wall, change, out);
     }
 
--- a/crates/poplartrail-core/src/upstream/life.rs
+++ b/crates/poplartrail-core/src/upstream/life.rs
@@ -128,17 +128,24 @@
         Ok(self.advance(check_in))
     }
 
-    /// Takes in that the upstream is about to exit.
-    pub fn depart(&mut self, departure: &Departure) -> UpstreamChange {
-        let (instance, born) = match self {
-            UpstreamLife::Ready(known) => (known.instance.clone(), known.born),
-            UpstreamLife::Leaving(known) => (known.instance.clone(), known.born),
-            UpstreamLife::Absent { .. } => return UpstreamChange::None,
+    /// Takes in, at `now`, that the upstream is about to exit.
+    ///
+    /// It is remembered also of a start that has not been heard of: a node may have started after
+    /// the upstream, and heartbeats may be late.
+    pub fn depart(&mut self, departure: &Departure, now: WallTime) -> UpstreamChange {
+        let known = match self {
+            UpstreamLife::Ready(known) => Some((&known.instance, known.born)),
+            UpstreamLife::Leaving(known) => Some((&known.instance, known.born)),
+            UpstreamLife::Absent { gone } => gone.as_ref().map(|(name, born)| (name, *born)),
+        };
+        let (instance, born) = match (known, departure.born) {
+            (Some((_, born)), Some(theirs)) if theirs < born => return UpstreamChange::None,
+            (_, Some(theirs)) => (departure.instance.clone(), theirs),
+            // A departure that names no start is that of the known one, if the name is the same.
+            (Some((name, born)), None) if *name == departure.instance => (name.clone(), born),
+            (Some(_), None) => return UpstreamChange::None,
+            (None, None) => (departure.instance.clone(), now),
         };
-        let is_same_start = departure.born.is_none_or(|theirs| theirs == born);
-        if departure.instance != instance || !is_same_start {
-            return UpstreamChange::None;
-        }
         let was_ready = self.ready().is_some();
         *self = UpstreamLife::Absent { gone: Some((instance, born)) };
         if was_ready { UpstreamChange::Left } else { UpstreamChange::None }
--- /dev/null
+++ b/crates/poplartrail-core/tests/upstream_life.rs
@@ -0,0 +1,77 @@
+//! Heartbeats and departures of the own upstream, in any order.
+
+use std::{net::SocketAddr, time::Duration};
+
+use poplartrail_core::{
+    names::{InstanceName, ServiceName},
+    time::WallTime,
+    upstream::{CheckIn, CheckInError, ClaimedState, Departure, UpstreamChange, UpstreamLife},
+};
+use test_case::test_case;
+
+const FIRST: WallTime = WallTime::from_millis(1_000);
+const SECOND: WallTime = WallTime::from_millis(2_000);
+const NOW: WallTime = WallTime::from_millis(5_000);
+const LATER: WallTime = WallTime::from_millis(6_000);
+
+fn service() -> ServiceName {
+    ServiceName::new("stock").unwrap()
+}
+
+fn addr() -> SocketAddr {
+    "127.0.0.1:8000".parse().unwrap()
+}
+
+fn ready(life: &mut UpstreamLife, born: WallTime) -> Result<UpstreamChange, CheckInError> {
+    let check_in = CheckIn {
+        instance: InstanceName::new("i-1").unwrap(),
+        born,
+        sequence: 9,
+        service: service(),
+        addr: addr(),
+        slots: 4,
+        state: ClaimedState::Ready,
+        cold_left: Duration::ZERO,
+    };
+    life.check_in(&check_in, &service(), addr())
+}
+
+fn depart(life: &mut UpstreamLife, born: Option<WallTime>) -> UpstreamChange {
+    let instance = InstanceName::new("i-1").unwrap();
+    life.depart(&Departure { instance, born }, NOW)
+}
+
+/// A node that has just started beside an upstream hears first that it exits. A heartbeat that was
+/// under way for longer must not bring it back.
+#[test_case(Some(FIRST); "with its start")]
+#[test_case(None; "without")]
+fn departure_of_an_unknown_start_holds(born: Option<WallTime>) {
+    let mut life = UpstreamLife::default();
+    assert_eq!(depart(&mut life, born), UpstreamChange::None);
+    assert!(matches!(ready(&mut life, FIRST), Err(CheckInError::Superseded(_))));
+    assert!(life.ready().is_none());
+}
+
+#[test_case(Some(FIRST), SECOND; "with its start")]
+#[test_case(None, LATER; "without")]
+fn next_start_under_the_same_name_is_taken(born: Option<WallTime>, next: WallTime) {
+    let mut life = UpstreamLife::default();
+    depart(&mut life, born);
+    assert_eq!(ready(&mut life, next).unwrap(), UpstreamChange::Appeared);
+}
+
+#[test]
+fn departure_of_a_later_start_ends_the_earlier() {
+    let mut life = UpstreamLife::default();
+    ready(&mut life, FIRST).unwrap();
+    assert_eq!(depart(&mut life, Some(SECOND)), UpstreamChange::Left);
+    assert!(ready(&mut life, FIRST).is_err() && ready(&mut life, SECOND).is_err());
+}
+
+#[test]
+fn late_departure_of_an_earlier_start_changes_nothing() {
+    let mut life = UpstreamLife::default();
+    ready(&mut life, SECOND).unwrap();
+    assert_eq!(depart(&mut life, Some(FIRST)), UpstreamChange::None);
+    assert!(life.ready().is_some());
+}
