Name the ranks of routes once for each configuration, and run the tool from one place

Read again: the rank of each request was found by building the set of all urgencies anew, work that grows with the routes on the path of every request. It is made where a configuration comes into force. The two stands started the command-line tool by copies of the same lines.

--- a/crates/poplartrail-core/src/engine/routing.rs
+++ b/crates/poplartrail-core/src/engine/routing.rs
@@ -10,7 +10,7 @@
     member::MemberState,
     names::RouteName,
     route::{Instance, Standing},
-    site::{Lineage, SiteConfig, Splits},
+    site::{Lineage, RankTable, SiteConfig, Splits},
     time::{Time, WallTime},
     upstream::{CheckIn, CheckInError, Departure, UpstreamChange, UpstreamLife},
 };
@@ -22,6 +22,8 @@
     upstream_addr: SocketAddr,
     upstream: UpstreamLife,
     site: Option<Arc<SiteConfig>>,
+    /// Ranks of the site's routes, made once for each version.
+    ranks: RankTable,
     splits: Splits,
     lineage: Lineage,
 }
@@ -32,6 +34,7 @@
             upstream_addr,
             upstream: UpstreamLife::default(),
             site: None,
+            ranks: RankTable::default(),
             splits: Splits::default(),
             lineage: Lineage::default(),
         }
@@ -101,7 +104,7 @@
             },
             service,
             request: req.request,
-            rank: Some(site.rank_of(rule)),
+            rank: hosted.ranks.rank_of(rule).cloned(),
             deadline: Some(req.deadline.map_or(timeout, |deadline| deadline.min(timeout))),
             effect,
             payload: req.payload.clone(),
@@ -162,6 +165,7 @@
             let is_kept = |name: &RouteName| site.routes.rules().any(|rule| rule.name == *name);
             hosted.splits.retain(is_kept);
             hosted.lineage.retain(is_kept);
+            hosted.ranks = site.ranks();
             hosted.site = Some(Arc::new(site));
         }
         if matches!(self.life, Life::Starting(_)) {
--- a/crates/poplartrail-core/src/site/config.rs
+++ b/crates/poplartrail-core/src/site/config.rs
@@ -7,7 +7,10 @@
 use crate::{
     names::{RankName, ServiceName},
     policy::{Bounds, Policy, PolicyError, Rank, Ranks, ServiceRule},
-    site::{CallerLimits, RouteRule, RouteTable},
+    site::{
+        CallerLimits, RankTable, RouteTable,
+        rank_table::{Urgency, urgency},
+    },
 };
 
 /// Most ranks that the priorities of routes are folded into.
@@ -43,10 +46,10 @@
 }
 
 impl SiteConfig {
-    /// The name of the rank of the requests of `rule`.
-    pub fn rank_of(&self, rule: &RouteRule) -> RankName {
-        let before = self.urgencies().into_iter().take_while(|u| *u < urgency(rule)).count();
-        rank_name(before.min(MAX_RANKS - 1))
+    /// The ranks of the routes; it is made anew at each call.
+    pub fn ranks(&self) -> RankTable {
+        let named = self.urgencies().into_iter().enumerate();
+        RankTable(named.map(|(at, urgency)| (urgency, rank_name(at.min(MAX_RANKS - 1)))).collect())
     }
 
     /// The ranks, services and bounds that follow from the routes.
@@ -75,16 +78,11 @@
     }
 
     /// The urgencies of all routes, the greatest first.
-    fn urgencies(&self) -> BTreeSet<(u32, Duration)> {
+    fn urgencies(&self) -> BTreeSet<Urgency> {
         self.routes.rules().map(|rule| urgency(rule)).collect()
     }
 }
 
-/// What orders the requests of a route among others; the smallest is the most urgent.
-fn urgency(rule: &RouteRule) -> (u32, Duration) {
-    (rule.priority, rule.target_latency)
-}
-
 fn rank_name(at: usize) -> RankName {
     RankName::new(format!("p{at}")).expect("a letter and a number make a valid name")
 }
--- a/crates/poplartrail-core/src/site/mod.rs
+++ b/crates/poplartrail-core/src/site/mod.rs
@@ -3,6 +3,7 @@
 mod caller_limits;
 mod config;
 mod lineage;
+mod rank_table;
 mod route_rule;
 mod route_table;
 mod split;
@@ -10,6 +11,7 @@
 pub use caller_limits::CallerLimits;
 pub use config::{SiteConfig, SiteVersion};
 pub use lineage::Lineage;
+pub use rank_table::RankTable;
 pub use route_rule::{RouteRule, SplitPart};
 pub use route_table::{HostRoutes, RouteTable};
 pub use split::Splits;
--- a/crates/poplartrail-core/tests/route_table.rs
+++ b/crates/poplartrail-core/tests/route_table.rs
@@ -62,8 +62,9 @@
     let policy = site.policy(Bounds::default()).expect("a policy follows");
     let targets: Vec<u128> = policy.ranks.iter().map(|rank| rank.target.as_millis()).collect();
     assert_eq!(targets, [200, 300, 1_500]);
-    let rank = |path| site.rank_of(site.routes.find("h.example", path).unwrap());
-    let at = |path| policy.ranks.find(&rank(path)).unwrap().index();
+    let ranks = site.ranks();
+    let rank = |path| ranks.rank_of(site.routes.find("h.example", path).unwrap()).unwrap();
+    let at = |path| policy.ranks.find(rank(path)).unwrap().index();
     assert_eq!([at("/a/b/x"), at("/x"), at("/a/x")], [0, 1, 2]);
 }
 
--- a/crates/poplartrail-stand/src/fleet/process.rs
+++ b/crates/poplartrail-stand/src/fleet/process.rs
@@ -5,12 +5,17 @@
     fs::File,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 /// Time between two looks at a process that is ending.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
+/// Time within which the command-line tool must end.
+const TOOL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Held while a child process is started, and while a socket is open to see that its port is free.
 static STARTS: Mutex<()> = Mutex::new(());
@@ -46,6 +51,15 @@
         Self { child, output }
     }
 
+    /// Runs the command-line tool to its end and returns its exit code and output.
+    pub fn run_tool(dir: &Path, args: &[String]) -> (i32, String) {
+        static RUNS: AtomicU32 = AtomicU32::new(0);
+        let label = format!("tool-{}", RUNS.fetch_add(1, Ordering::Relaxed));
+        let mut tool = Self::start(dir, "poplartrail", &label, args);
+        let code = tool.wait(TOOL_TIMEOUT).unwrap_or(-1);
+        (code, tool.output())
+    }
+
     /// What the process has written.
     pub fn output(&self) -> String {
         std::fs::read_to_string(&self.output).unwrap_or_default()
--- a/crates/poplartrail-stand/src/fleet/running.rs
+++ b/crates/poplartrail-stand/src/fleet/running.rs
@@ -197,11 +197,7 @@
 
     /// Runs the command-line tool.
     pub fn tool(&self, args: &[String]) -> (i32, String) {
-        static RUNS: AtomicU32 = AtomicU32::new(0);
-        let label = format!("tool-{}", RUNS.fetch_add(1, Ordering::Relaxed));
-        let mut tool = Process::start(&self.dir, "poplartrail", &label, args);
-        let code = tool.wait(START_TIMEOUT).unwrap_or(-1);
-        (code, tool.output())
+        Process::run_tool(&self.dir, args)
     }
 
     /// A caller of the node at `at`.
--- a/crates/poplartrail-stand/src/hosted/node.rs
+++ b/crates/poplartrail-stand/src/hosted/node.rs
@@ -85,12 +85,8 @@
 
     /// Runs the command-line tool and returns its exit code and output.
     pub fn tool(&self, args: &[&str]) -> (i32, String) {
-        static RUNS: AtomicU32 = AtomicU32::new(0);
-        let label = format!("tool-{}", RUNS.fetch_add(1, Ordering::Relaxed));
         let args: Vec<String> = args.iter().map(|&arg| arg.to_owned()).collect();
-        let mut tool = Process::start(&self.dir, "poplartrail", &label, &args);
-        let code = tool.wait(START_TIMEOUT).unwrap_or(-1);
-        (code, tool.output())
+        Process::run_tool(&self.dir, &args)
     }
 
     /// Ends the process at once and starts it again.
