Bound what a faulty instance or another writer can make a node hold or believe

Ruled out (tests passed before): deep nesting in a record, ports out of range, long and deleted entries, empty keys, thousands of entries; a head without end.

--- a/crates/poplartrail-core/src/engine/node.rs
+++ b/crates/poplartrail-core/src/engine/node.rs
@@ -19,6 +19,8 @@
 
 /// Minimum time between two rounds of requests to the seeds.
 const SEED_ASK_INTERVAL: Duration = Duration::from_secs(1);
+/// Largest difference assumed between the clocks of two VMs.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(3600);
 /// Random keys that [`Node::mint_key`] tries until it finds one with its home on this node.
 const MAX_MINT_ATTEMPTS: usize = 4096;
 
@@ -96,7 +98,7 @@
                     self.calls.router_mut().mark_draining(key);
                 }
             }
-            Input::PeerMembers(members) => self.handle_peer_members(now, &members),
+            Input::PeerMembers(members) => self.handle_peer_members(now, wall, members),
             Input::Wake => self.wake(now, wall, out),
             Input::Drain => self.drain(now, wall, out),
             Input::Close => self.close(now, wall, out),
@@ -343,9 +345,13 @@
         }
     }
 
-    fn handle_peer_members(&mut self, now: Time, members: &[MemberRecord]) {
-        self.cluster.record_peer_members(members);
-        for record in members {
+    /// Applies the records of other members. Ignores those whose incarnation, the time of day at the
+    /// start of their process, lies in the future: no later record of the VM could replace them.
+    fn handle_peer_members(&mut self, now: Time, wall: WallTime, mut members: Vec<MemberRecord>) {
+        let max_incarnation = (wall + MAX_CLOCK_DIFFERENCE).as_millis();
+        members.retain(|record| record.member.incarnation <= max_incarnation);
+        self.cluster.record_peer_members(&members);
+        for record in &members {
             let member = &record.member;
             if member.vm == self.local_member.vm {
                 continue;
--- a/crates/poplartrail-http/src/h1/body.rs
+++ b/crates/poplartrail-http/src/h1/body.rs
@@ -7,6 +7,9 @@
 /// Longest incomplete line that is buffered: a trailer field, or a chunk size with its extensions,
 /// which are ignored.
 const MAX_LINE_BYTES: usize = 4096;
+/// Most bytes of all trailer fields together. They are discarded, so only a faulty or hostile peer
+/// sends more.
+const MAX_TRAILER_BYTES: usize = 16 << 10;
 
 /// How the end of a message body is found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,6 +39,7 @@
     state: State,
     body: BytesMut,
     max_bytes: usize,
+    trailer_bytes: usize,
 }
 
 impl BodyDecoder {
@@ -47,7 +51,7 @@
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
         };
-        Self { state, body: BytesMut::new(), max_bytes }
+        Self { state, body: BytesMut::new(), max_bytes, trailer_bytes: 0 }
     }
 
     /// Removes the bytes of the body from the front of `buf` and returns whether the body is
@@ -55,7 +59,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`MessageError::InvalidChunk`] or [`MessageError::BodyTooLong`].
+    /// Fails with [`MessageError::InvalidChunk`], [`MessageError::BodyTooLong`] or
+    /// [`MessageError::TrailerTooLong`].
     pub fn decode(&mut self, buf: &mut BytesMut) -> Result<bool, MessageError> {
         loop {
             match self.state {
@@ -99,6 +104,16 @@
         matches!(self.state, State::Done)
     }
 
+    /// Returns the number of bytes of the body that were decoded so far.
+    pub fn len(&self) -> usize {
+        self.body.len()
+    }
+
+    /// Returns whether no byte of the body was decoded so far.
+    pub fn is_empty(&self) -> bool {
+        self.body.is_empty()
+    }
+
     /// Returns the bytes of the body that were decoded so far.
     pub fn into_body(self) -> BytesMut {
         self.body
@@ -113,6 +128,13 @@
             State::ChunkEnd if line.is_empty() => State::ChunkSize,
             State::ChunkEnd => return Err(MessageError::InvalidChunk),
             State::Trailer if line.is_empty() => State::Done,
+            State::Trailer => {
+                self.trailer_bytes += line.len();
+                if self.trailer_bytes > MAX_TRAILER_BYTES {
+                    return Err(MessageError::TrailerTooLong(MAX_TRAILER_BYTES));
+                }
+                State::Trailer
+            }
             state => state,
         };
         Ok(())
--- a/crates/poplartrail-http/src/h1/connection.rs
+++ b/crates/poplartrail-http/src/h1/connection.rs
@@ -11,13 +11,19 @@
     time::{Instant, timeout},
 };
 
-use crate::h1::{BodyDecoder, ExchangeError, Framing, ResponseHead, parse_response_head};
+use crate::{
+    ByteBudget,
+    h1::{BodyDecoder, ExchangeError, Framing, ResponseHead, parse_response_head},
+};
 
 /// Buffer space that is reserved for each read; most responses fit into it.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 /// Most responses to other requests, which a faulty upstream may send first, that one exchange
 /// discards. After one more, the exchange fails.
 const MAX_MISMATCHED_RESPONSES: usize = 2;
+/// Most informational responses that are skipped before a response. A server sends one or two of
+/// them; a faulty one may send them without end.
+const MAX_INFORMATIONAL_RESPONSES: usize = 8;
 /// Fraction of the server's keep-alive timeout for which an idle connection is reused. The rest
 /// covers the transit of the request and a clock of the server that runs fast.
 const REUSE_FRACTION: f64 = 0.6;
@@ -25,7 +31,7 @@
 const DEFAULT_KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Timeouts and limits of a [`ClientConnection`].
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct ClientOptions {
     /// Longest wait for the connection to open.
     pub connect_timeout: Duration,
@@ -37,6 +43,9 @@
     pub max_head_bytes: usize,
     /// Largest body of a response.
     pub max_body_bytes: usize,
+    /// Bytes that the bodies being received may hold together, on all connections that share this
+    /// budget.
+    pub body_budget: ByteBudget,
 }
 
 /// Response with its whole body.
@@ -130,7 +139,7 @@
         req: &[u8],
         written: &mut usize,
     ) -> Result<(ResponseHead, Bytes), ExchangeError> {
-        loop {
+        for _ in 0..=MAX_INFORMATIONAL_RESPONSES {
             let head = loop {
                 if let Some(head) = parse_response_head(&mut self.buf, self.options.max_head_bytes)?
                 {
@@ -149,6 +158,7 @@
             let body = self.read_body(framing, req, written).await?;
             return Ok((head, body));
         }
+        Err(ExchangeError::TooManyInformational(MAX_INFORMATIONAL_RESPONSES))
     }
 
     async fn read_body(
@@ -158,7 +168,11 @@
         written: &mut usize,
     ) -> Result<Bytes, ExchangeError> {
         let mut decoder = BodyDecoder::new(framing, self.options.max_body_bytes);
+        let mut reservation = self.options.body_budget.reservation();
         while !decoder.decode(&mut self.buf).map_err(ExchangeError::from)? {
+            if !reservation.grow_to(decoder.len()) {
+                return Err(ExchangeError::OverBudget);
+            }
             if self.write_and_read(req, written).await? == 0 {
                 if decoder.decode_eof() {
                     break;
--- a/crates/poplartrail-http/src/h1/error.rs
+++ b/crates/poplartrail-http/src/h1/error.rs
@@ -25,6 +25,10 @@
         BodyTooLong(max: usize) {
             display("the body has more than {} bytes: send less", max)
         }
+        /// The trailer fields of a chunked body are longer than `max` bytes.
+        TrailerTooLong(max: usize) {
+            display("the trailer has more than {} bytes: send fewer or shorter fields", max)
+        }
     }
 }
 
@@ -45,6 +49,12 @@
             from()
             display("the response cannot be read: {}", err)
         }
+        /// The responses in progress hold as many bytes together as they may.
+        OverBudget { display("no memory is left for the response") }
+        /// More than `max` informational responses preceded the response.
+        TooManyInformational(max: usize) {
+            display("more than {} informational responses came before the response", max)
+        }
         /// The responses on the connection belong to other requests.
         ResponseMismatch {
             display("the response belongs to another request")
--- a/crates/poplartrail-http/tests/h1_messages.rs
+++ b/crates/poplartrail-http/tests/h1_messages.rs
@@ -123,3 +123,25 @@
     assert_eq!(head.framing(&Method::GET), Ok(Framing::Length(4)));
     assert_eq!(head.framing(&Method::HEAD), Ok(Framing::Length(0)));
 }
+
+/// A trailer has no use here, and a faulty peer may send one without end.
+#[test]
+fn endless_trailer_is_rejected() {
+    let mut decoder = BodyDecoder::new(Framing::Chunked, MAX_BYTES);
+    let mut result = decoder.decode(&mut BytesMut::from("0\r\n"));
+    let line = "x-more: more\r\n".repeat(64);
+    let mut received = 0;
+    while result.is_ok() && received < 4 << 20 {
+        received += line.len();
+        result = decoder.decode(&mut BytesMut::from(line.as_str()));
+    }
+    assert!(matches!(result, Err(MessageError::TrailerTooLong(_))), "{result:?}, {received} bytes");
+}
+
+#[test]
+fn short_trailer_is_skipped() {
+    let mut decoder = BodyDecoder::new(Framing::Chunked, MAX_BYTES);
+    let mut buf = BytesMut::from("2\r\nok\r\n0\r\nx-sum: 1\r\n\r\nnext");
+    assert_eq!(decoder.decode(&mut buf), Ok(true));
+    assert_eq!((&decoder.into_body()[..], &buf[..]), (&b"ok"[..], &b"next"[..]));
+}
--- a/crates/poplartrail-node/src/adapters/front/run.rs
+++ b/crates/poplartrail-node/src/adapters/front/run.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use poplartrail_core::{call::Outcome, engine::ReplyPort, site::CallerLimits};
+use poplartrail_http::ByteBudget;
 use tokio::sync::watch;
 
 use crate::{
@@ -31,6 +32,8 @@
     pub max_connections: usize,
     /// Maximum number of requests that wait for an outcome.
     pub max_pending: usize,
+    /// Limit on the bytes of all requests that have been received and not answered yet.
+    pub request_budget: ByteBudget,
     /// Source of the current time.
     pub clock: C,
 }
@@ -49,6 +52,7 @@
             listen,
             max_connections: options.max_connections,
             limits: limits.clone(),
+            request_budget: options.request_budget.clone(),
             shutting_down: shutting_down.clone(),
         };
         let requests = CallerRequestHandler {
--- a/crates/poplartrail-node/src/adapters/report/serve.rs
+++ b/crates/poplartrail-node/src/adapters/report/serve.rs
@@ -10,6 +10,7 @@
 use metrics::counter;
 use metrics_exporter_prometheus::PrometheusHandle;
 use poplartrail_core::{engine::NodeStatus, names::VmName, site::CallerLimits};
+use poplartrail_http::ByteBudget;
 use tokio::sync::watch;
 use volo::{Service, net::Address};
 use volo_http::{body::Body, context::ServerContext, request::Request, server::Server};
@@ -28,6 +29,8 @@
 const MAX_REQUEST_LINES_PER_SECOND: u32 = 200;
 /// Maximum number of open connections of operators and their tools.
 const MAX_CONNECTIONS: usize = 64;
+/// Limit on the bytes of all their requests, which have no body.
+const MAX_REQUEST_BYTES: usize = 1 << 20;
 
 /// Parameters of the report thread.
 #[derive(Clone)]
@@ -81,6 +84,7 @@
             listen: options.listen,
             max_connections: MAX_CONNECTIONS,
             limits,
+            request_budget: ByteBudget::new(MAX_REQUEST_BYTES),
             shutting_down: shutting_down.clone(),
         };
         let handler = ReportHandler { options, events: events.clone(), decide: decide.clone() };
--- a/crates/poplartrail-node/src/adapters/server/connection.rs
+++ b/crates/poplartrail-node/src/adapters/server/connection.rs
@@ -4,9 +4,12 @@
 
 use bytes::BytesMut;
 use futures_util::{StreamExt, future::BoxFuture, stream::FuturesOrdered};
-use http::{Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode, header};
 use poplartrail_core::site::CallerLimits;
-use poplartrail_http::h1::{MessageError, encode_response};
+use poplartrail_http::{
+    ByteBudget, ByteReservation,
+    h1::{MessageError, encode_response},
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -17,7 +20,9 @@
     time::{Instant, sleep_until, timeout},
 };
 
-use crate::adapters::server::{Handler, HttpResponse, parser::RequestParser};
+use crate::adapters::server::{
+    Handler, HttpRequest, HttpResponse, ServerOptions, parser::RequestParser,
+};
 
 /// Maximum number of requests in progress on one connection.
 const MAX_PIPELINED: usize = 64;
@@ -25,6 +30,9 @@
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
 /// Buffer space reserved for each read.
 const READ_BUFFER_BYTES: usize = 16 << 10;
+/// Seconds after which a request may come again that found no memory for its body: most requests
+/// end within that time and return theirs.
+const OVER_BUDGET_RETRY_AFTER: HeaderValue = HeaderValue::from_static("1");
 /// Time limit for writing a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -42,6 +50,9 @@
     handler: H,
     limits: watch::Receiver<CallerLimits>,
     shutting_down: watch::Receiver<bool>,
+    request_budget: ByteBudget,
+    /// Bytes of the body that is being received.
+    reservation: ByteReservation,
     buf: BytesMut,
     parser: RequestParser,
     in_progress: FuturesOrdered<BoxFuture<'static, CompletedRequest>>,
@@ -62,19 +73,18 @@
 }
 
 impl<H: Handler> Connection<H> {
-    pub(crate) fn new(
-        stream: TcpStream,
-        handler: H,
-        limits: watch::Receiver<CallerLimits>,
-        shutting_down: watch::Receiver<bool>,
-    ) -> Self {
+    pub(crate) fn new(stream: TcpStream, handler: H, options: ServerOptions) -> Self {
         let (rx, tx) = stream.into_split();
+        let ServerOptions { limits, shutting_down, request_budget, .. } = options;
+        let reservation = request_budget.reservation();
         Self {
             rx,
             tx,
             handler,
             limits,
             shutting_down,
+            request_budget,
+            reservation,
             buf: BytesMut::new(),
             parser: RequestParser::default(),
             in_progress: FuturesOrdered::new(),
@@ -135,7 +145,14 @@
                 Ok(Some(req)) => {
                     self.wait_start = Instant::now();
                     self.has_sent_continue = false;
-                    self.start(req);
+                    if self.reservation.grow_to(req.body.len()) {
+                        self.start(req);
+                    } else {
+                        self.enqueue_over_budget(!req.head.is_persistent);
+                    }
+                }
+                Ok(None) if !self.reservation.grow_to(self.parser.body_len()) => {
+                    self.enqueue_over_budget(true);
                 }
                 Ok(None) => {
                     if !was_in_body && self.parser.is_in_body() {
@@ -152,16 +169,33 @@
         true
     }
 
-    fn start(&mut self, req: crate::adapters::server::HttpRequest) {
+    fn start(&mut self, req: HttpRequest) {
         let is_head = req.head.method == Method::HEAD;
         let closes_connection = !req.head.is_persistent;
         self.accepts_requests = !closes_connection;
         let handler = self.handler.clone();
+        let reservation =
+            std::mem::replace(&mut self.reservation, self.request_budget.reservation());
         self.in_progress.push_back(Box::pin(async move {
-            CompletedRequest { response: handler.call(req).await, is_head, closes_connection }
+            let response = handler.call(req).await;
+            drop(reservation);
+            CompletedRequest { response, is_head, closes_connection }
         }));
     }
 
+    /// Enqueues a refusal of a request whose body exceeds what is left of the request budget. The
+    /// request is not passed on, so it has certainly not run.
+    fn enqueue_over_budget(&mut self, closes_connection: bool) {
+        spdlog::warn!("request refused: no memory is left for its body");
+        self.accepts_requests = !closes_connection;
+        self.reservation = self.request_budget.reservation();
+        let body = "the node holds its full number of bytes: come again later\n".to_owned();
+        let mut response = HttpResponse::text(StatusCode::SERVICE_UNAVAILABLE, "text/plain", body);
+        response.headers.insert(header::RETRY_AFTER, OVER_BUDGET_RETRY_AFTER);
+        let completed = CompletedRequest { response, is_head: false, closes_connection };
+        self.in_progress.push_back(Box::pin(std::future::ready(completed)));
+    }
+
     /// Enqueues an error response to a request that is malformed or too long, after the responses
     /// to the requests before it. No further request is accepted.
     fn enqueue_error(&mut self, status: StatusCode, body: String) {
@@ -213,7 +247,9 @@
 
 fn error_status(err: MessageError) -> StatusCode {
     match err {
-        MessageError::HeadTooLong(_) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        MessageError::HeadTooLong(_) | MessageError::TrailerTooLong(_) => {
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
+        }
         MessageError::BodyTooLong(_) => StatusCode::PAYLOAD_TOO_LARGE,
         MessageError::InvalidHead(_)
         | MessageError::AmbiguousLength
--- a/crates/poplartrail-node/src/adapters/server/parser.rs
+++ b/crates/poplartrail-node/src/adapters/server/parser.rs
@@ -19,6 +19,11 @@
         self.partial.is_some()
     }
 
+    /// Returns the number of bytes received of a body that is not complete.
+    pub(crate) fn body_len(&self) -> usize {
+        self.partial.as_ref().map_or(0, |(_, decoder)| decoder.len())
+    }
+
     /// Returns whether the client waits for `100 Continue` before it sends the body.
     pub(crate) fn expects_continue(&self) -> bool {
         let Some((head, _)) = &self.partial else { return false };
--- a/crates/poplartrail-node/src/adapters/server/run.rs
+++ b/crates/poplartrail-node/src/adapters/server/run.rs
@@ -4,6 +4,7 @@
 
 use metrics::counter;
 use poplartrail_core::site::CallerLimits;
+use poplartrail_http::ByteBudget;
 use tokio::{
     net::{TcpListener, TcpSocket},
     sync::{Semaphore, watch},
@@ -27,6 +28,8 @@
     pub(crate) max_connections: usize,
     /// Limits on each connection; a change applies to open connections too.
     pub(crate) limits: watch::Receiver<CallerLimits>,
+    /// Limit on the bytes of all requests that have been received and not answered yet.
+    pub(crate) request_budget: ByteBudget,
     /// Whether the process has been asked to stop. Each connection then closes after the response
     /// to the last request received on it.
     pub(crate) shutting_down: watch::Receiver<bool>,
@@ -58,8 +61,7 @@
             spdlog::debug!("connection lost before it was served: {err}");
             continue;
         }
-        let (limits, shutting_down) = (options.limits.clone(), options.shutting_down.clone());
-        let connection = Connection::new(stream, handler.clone(), limits, shutting_down);
+        let connection = Connection::new(stream, handler.clone(), options.clone());
         tokio::spawn(async move {
             connection.serve().await;
             drop(permit);
--- a/crates/poplartrail-node/src/adapters/store/follow.rs
+++ b/crates/poplartrail-node/src/adapters/store/follow.rs
@@ -2,9 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
 use http::StatusCode;
-use poplartrail_core::engine::Input;
+use poplartrail_core::{engine::Input, member::MemberRecord};
 use poplartrail_platform::store::{
     CONFIG_KEY, KeyedRecord, MEMBERS_TOPIC, OPERATOR_TOPIC, decode_records, read_call,
 };
@@ -130,9 +129,9 @@
                 let config = records.into_iter().rev().find(|record| record.key == CONFIG_KEY);
                 config.map(|record| Input::SiteDocument(record.value))
             }
-            Topic::Members => Some(Input::PeerMembers(
-                records.into_iter().filter_map(|record| decode_member(&record.value)).collect(),
-            )),
+            Topic::Members => {
+                Some(Input::PeerMembers(records.iter().filter_map(decode_member).collect()))
+            }
         };
         if let Some(input) = input {
             self.decide.send(DecideMessage::Input(input)).await;
@@ -156,11 +155,16 @@
     }
 }
 
-/// Decodes a member record. Returns `None` if it is malformed, for instance because something other
-/// than a node has written it.
-fn decode_member(value: &Bytes) -> Option<poplartrail_core::member::MemberRecord> {
-    match decode_member_record(value) {
-        Ok(record) => Some(record),
+/// Decodes a member record. Returns `None` if it is malformed or names another VM than its key, for
+/// instance because something other than a node has written it.
+fn decode_member(record: &KeyedRecord) -> Option<MemberRecord> {
+    match decode_member_record(&record.value) {
+        Ok(member) if record.key == member.member.vm.as_str() => Some(member),
+        Ok(member) => {
+            let (vm, key) = (&member.member.vm, String::from_utf8_lossy(&record.key));
+            spdlog::warn!("a member record names {vm} and is ignored: its key is {key:?}");
+            None
+        }
         Err(err) => {
             spdlog::warn!("a member record cannot be read: {err}");
             None
--- a/crates/poplartrail-node/src/adapters/upstream/hosted.rs
+++ b/crates/poplartrail-node/src/adapters/upstream/hosted.rs
@@ -8,11 +8,14 @@
 
 use metrics::counter;
 use poplartrail_core::{
-    call::{Answer, Context, Payload},
+    call::{Answer, Context, Payload, RequestId},
     engine::{CallKey, UpstreamFault},
     names::InstanceName,
 };
-use poplartrail_http::h1::{ClientConnection, ClientOptions, ExchangeError, encode_request};
+use poplartrail_http::{
+    ByteBudget,
+    h1::{ClientConnection, ClientOptions, ExchangeError, encode_request},
+};
 use poplartrail_platform::{decode_answer, encode_dispatch, is_answer_to};
 
 use crate::{adapters::upstream::Dispatch, ports::Clock};
@@ -25,6 +28,9 @@
 /// Size limit of the head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Number of refused requests after which a connection is not reused.
+const MAX_REFUSALS: usize = 32;
+
 /// Parameters of the upstream thread in hosted mode.
 #[derive(Debug, Clone)]
 pub struct HostedUpstreamOptions<C> {
@@ -34,17 +40,36 @@
     pub max_idle: usize,
     /// Size limit of the body of an answer, in bytes.
     pub max_body_bytes: usize,
+    /// Limit on the bytes of all answers that are being received. It is what bounds the memory
+    /// that a faulty upstream takes, which may send bytes without end to several calls.
+    pub answer_budget: ByteBudget,
     /// Source of the current time.
     pub clock: C,
 }
 
+/// A connection to the upstream and the requests that the upstream has refused on it.
+///
+/// A faulty upstream may write a refusal once more. Its identity tells it from the answer to another
+/// request, but not from the answer to the same request when that is tried again. So a request is
+/// not sent over a connection on which it was refused.
+struct PooledConnection {
+    connection: ClientConnection,
+    refused: Vec<RequestId>,
+}
+
+impl PooledConnection {
+    fn is_reusable(&self) -> bool {
+        self.refused.len() < MAX_REFUSALS && self.connection.is_reusable()
+    }
+}
+
 /// Sends calls to the upstream in the platform's format.
 #[derive(Clone)]
 pub(crate) struct HostedDispatcher<C> {
     options: Arc<HostedUpstreamOptions<C>>,
     /// Idle connections. The most recently used one is last and is reused first, so that surplus
     /// ones reach their idle timeout.
-    idle: Arc<Mutex<Vec<ClientConnection>>>,
+    idle: Arc<Mutex<Vec<PooledConnection>>>,
 }
 
 impl<C: Clock + Sync> HostedDispatcher<C> {
@@ -52,9 +77,10 @@
         Self { options: Arc::new(options), idle: Arc::default() }
     }
 
-    async fn connection(&self) -> Result<ClientConnection, ExchangeError> {
-        if let Some(connection) = self.pop_idle() {
-            return Ok(connection);
+    /// Returns an idle connection on which `request_id` has not been refused, or opens one.
+    async fn connection(&self, request_id: RequestId) -> Result<PooledConnection, ExchangeError> {
+        if let Some(pooled) = self.pop_idle(request_id) {
+            return Ok(pooled);
         }
         counter!("poplartrail_upstream_connections_total").increment(1);
         let options = ClientOptions {
@@ -62,28 +88,32 @@
             keepalive_interval: KEEPALIVE_INTERVAL,
             max_head_bytes: MAX_HEAD_BYTES,
             max_body_bytes: self.options.max_body_bytes,
+            body_budget: self.options.answer_budget.clone(),
         };
-        ClientConnection::connect(self.options.addr, options).await
+        let connection = ClientConnection::connect(self.options.addr, options).await?;
+        Ok(PooledConnection { connection, refused: Vec::new() })
     }
 
-    fn pop_idle(&self) -> Option<ClientConnection> {
+    fn pop_idle(&self, request_id: RequestId) -> Option<PooledConnection> {
         let mut idle = self.lock();
-        while let Some(connection) = idle.pop() {
-            if connection.is_reusable() {
-                return Some(connection);
+        let is_suitable = |pooled: &PooledConnection| !pooled.refused.contains(&request_id);
+        while let Some(at) = idle.iter().rposition(is_suitable) {
+            let pooled = idle.remove(at);
+            if pooled.is_reusable() {
+                return Some(pooled);
             }
         }
         None
     }
 
-    fn push_idle(&self, connection: ClientConnection) {
+    fn push_idle(&self, pooled: PooledConnection) {
         let mut idle = self.lock();
-        if connection.is_reusable() && idle.len() < self.options.max_idle {
-            idle.push(connection);
+        if pooled.is_reusable() && idle.len() < self.options.max_idle {
+            idle.push(pooled);
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<ClientConnection>> {
+    fn lock(&self) -> MutexGuard<'_, Vec<PooledConnection>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -97,7 +127,7 @@
         payload: Payload,
     ) -> Result<Answer, UpstreamFault> {
         let request_id = context.request_id;
-        let mut connection = self.connection().await.map_err(|err| {
+        let mut pooled = self.connection(request_id).await.map_err(|err| {
             spdlog::warn!("cannot connect to the upstream: {err}", kv: { request = request_id.to_string().as_str() });
             UpstreamFault::NotConnected
         })?;
@@ -105,11 +135,15 @@
         let head = encode_dispatch(now, context, instance, &payload);
         let (method, headers) = head.ok_or(UpstreamFault::NotConnected)?;
         let bytes = encode_request(&method, &payload.target, &headers, &payload.body);
-        let answer = connection.exchange(&method, &bytes, |head| is_answer_to(&payload, head)).await.map_err(|err| {
+        let answer = pooled.connection.exchange(&method, &bytes, |head| is_answer_to(&payload, head)).await.map_err(|err| {
             spdlog::warn!("answer of the upstream lost: {err}", kv: { request = request_id.to_string().as_str() });
             UpstreamFault::Lost
         })?;
-        self.push_idle(connection);
-        decode_answer(answer)
+        let result = decode_answer(answer);
+        if matches!(result, Err(UpstreamFault::Rejected)) {
+            pooled.refused.push(request_id);
+        }
+        self.push_idle(pooled);
+        result
     }
 }
--- a/crates/poplartrail-node/src/daemon/hosted.rs
+++ b/crates/poplartrail-node/src/daemon/hosted.rs
@@ -11,6 +11,7 @@
     engine::{CallOptions, Input, Mechanisms, Node, NodeOptions},
     member::Member,
 };
+use poplartrail_http::ByteBudget;
 use poplartrail_platform::PlatformPolicySource;
 use poplartrail_settings::node::HostedSettings;
 use signal_hook::{
@@ -53,6 +54,12 @@
 /// silent. A node with a fraction of a core may not run for a tenth of a second at a time, and
 /// several such pauses may follow each other under load.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
+/// Limit on the bytes of all requests of callers that the node has received and not answered yet.
+/// Together with [`MAX_ANSWER_BYTES`] it leaves half of the smallest VM, of 160 MB, to everything
+/// else.
+const MAX_REQUEST_BYTES: usize = 48 << 20;
+/// Limit on the bytes of all answers that are being received from the upstream.
+const MAX_ANSWER_BYTES: usize = 32 << 20;
 /// Maximum number of idle connections to the upstream.
 const MAX_IDLE_CONNECTIONS: usize = 256;
 
@@ -235,6 +242,7 @@
         listen_control: settings.listen.control,
         max_connections: settings.limits.max_connections,
         max_pending: settings.limits.ring_len,
+        request_budget: ByteBudget::new(MAX_REQUEST_BYTES),
         clock,
     }
 }
@@ -262,6 +270,7 @@
         addr: settings.upstream_addr,
         max_idle: MAX_IDLE_CONNECTIONS,
         max_body_bytes: settings.limits.max_body_bytes,
+        answer_budget: ByteBudget::new(MAX_ANSWER_BYTES),
         clock,
     }
 }
--- a/crates/poplartrail-stand/src/fleet/process.rs
+++ b/crates/poplartrail-stand/src/fleet/process.rs
@@ -69,8 +69,18 @@
 
     /// Returns the resident memory of the process in KiB, or `None` once it has ended.
     pub fn resident_kib(&self) -> Option<u64> {
+        self.memory_kib("VmRSS:")
+    }
+
+    /// Returns the largest resident memory of the process so far in KiB, or `None` once it has
+    /// ended.
+    pub fn peak_resident_kib(&self) -> Option<u64> {
+        self.memory_kib("VmHWM:")
+    }
+
+    fn memory_kib(&self, field: &str) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        let line = status.lines().find(|line| line.starts_with(field))?;
         line.split_whitespace().nth(1)?.parse().ok()
     }
 
--- a/crates/poplartrail-stand/src/hosted/instance.rs
+++ b/crates/poplartrail-stand/src/hosted/instance.rs
@@ -1,7 +1,7 @@
 //! A stand-in for a service instance on the hosting platform; the request path selects its fault.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
@@ -32,12 +32,20 @@
 /// - `extra`: the answer is sent twice
 /// - `foreign`: an answer to another request is sent before the answer
 /// - `lost`: the request runs, and the connection is closed without an answer
+/// - `again`: the first time, the request is refused and not run; the refusal is written once more
+///   at the start of the next request on the connection
+/// - `endless-head`, `endless-body`, `endless-trailer`, `endless-interim`: the request runs, and its
+///   answer has no end: head, body, trailer or responses before it
 #[derive(Debug, Clone)]
 pub struct StandInstance {
     addr: SocketAddr,
     id: Arc<str>,
     runs: Arc<Mutex<HashMap<String, Vec<RequestHead>>>>,
+    /// Requests that were refused to be run the next time.
+    refused: Arc<Mutex<HashSet<String>>>,
     completed: Arc<AtomicUsize>,
+    /// Largest number of bytes that one answer without end has reached.
+    longest_answer: Arc<AtomicUsize>,
 }
 
 impl StandInstance {
@@ -47,7 +55,9 @@
             addr: free_addr(),
             id: Arc::from(id),
             runs: Arc::default(),
+            refused: Arc::default(),
             completed: Arc::default(),
+            longest_answer: Arc::default(),
         };
         let server = instance.clone();
         serve_connections(instance.addr, move |connection| server.serve(connection));
@@ -84,21 +94,40 @@
         self.completed.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of bytes of the longest answer without end, when its connection closed.
+    pub fn longest_answer(&self) -> usize {
+        self.longest_answer.load(Ordering::SeqCst)
+    }
+
     /// Returns the number of runs of all requests.
     pub fn total_runs(&self) -> usize {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).values().map(Vec::len).sum()
     }
 
     fn serve(&self, mut connection: ServerConnection) {
+        let mut refusal: Option<Vec<u8>> = None;
         while let Some((head, _body)) = connection.next_request() {
-            if !self.answer(&mut connection, &head) {
+            if let Some(refusal) = refusal.take() {
+                connection.write(&refusal);
+            }
+            if !self.answer(&mut connection, &head, &mut refusal) {
                 return;
             }
         }
     }
 
-    /// Answers a request; returns `false` if the connection is to be closed.
-    fn answer(&self, connection: &mut ServerConnection, head: &RequestHead) -> bool {
+    fn is_first(&self, id: &str) -> bool {
+        self.refused.lock().unwrap_or_else(PoisonError::into_inner).insert(id.to_owned())
+    }
+
+    /// Answers a request; returns `false` if the connection is to be closed. Stores a refusal that is
+    /// to be written once more.
+    fn answer(
+        &self,
+        connection: &mut ServerConnection,
+        head: &RequestHead,
+        refusal: &mut Option<Vec<u8>>,
+    ) -> bool {
         let field = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
         let id = field("x-request-id").unwrap_or_default().to_owned();
         if field("x-target-instance").is_some_and(|target| target != &*self.id) {
@@ -113,6 +142,12 @@
             connection.write(&response(503, &fields, b""));
             return true;
         }
+        if scenario == "again" && self.is_first(&id) {
+            let fields = format!("x-request-id: {id}\r\nx-not-executed: 1\r\n");
+            connection.write(&response(503, &fields, b""));
+            *refusal = Some(response(503, &fields, b""));
+            return true;
+        }
         let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
         runs.entry(id.clone()).or_default().push(head.clone());
         drop(runs);
@@ -121,6 +156,11 @@
         match scenario.strip_prefix("slow-").and_then(|millis| millis.parse().ok()) {
             Some(millis) => sleep(Duration::from_millis(millis)),
             None if scenario == "lost" => return false,
+            None if scenario.starts_with("endless-") => {
+                let written = write_without_end(connection, scenario, &id);
+                self.longest_answer.fetch_max(written, Ordering::SeqCst);
+                return false;
+            }
             None if scenario == "cut" => {
                 connection.write(&answer[..answer.len() - 3]);
                 return false;
@@ -147,3 +187,26 @@
         true
     }
 }
+
+/// Writes an answer without end until the peer closes the connection, and returns its length.
+fn write_without_end(connection: &mut ServerConnection, scenario: &str, id: &str) -> usize {
+    let fields = format!("x-request-id: {id}\r\nx-server-signature: s.{id}\r\n");
+    let (start, rest) = match scenario {
+        "endless-head" => {
+            (format!("HTTP/1.1 200 Status\r\n{fields}"), "x-more: more\r\n".repeat(64))
+        }
+        "endless-trailer" => (
+            format!("HTTP/1.1 200 Status\r\n{fields}transfer-encoding: chunked\r\n\r\n0\r\n"),
+            "x-more: more\r\n".repeat(64),
+        ),
+        "endless-interim" => (String::new(), "HTTP/1.1 103 Status\r\n\r\n".repeat(64)),
+        _ => (format!("HTTP/1.1 200 Status\r\n{fields}\r\n"), "more".repeat(4096)),
+    };
+    let mut written = start.len();
+    let mut is_open = connection.try_write(start.as_bytes());
+    while is_open {
+        is_open = connection.try_write(rest.as_bytes());
+        written += rest.len();
+    }
+    written
+}
--- a/crates/poplartrail-stand/src/hosted/node.rs
+++ b/crates/poplartrail-stand/src/hosted/node.rs
@@ -72,7 +72,8 @@
              control = \"{control_addr}\"\npeers = \"{peers_addr}\"\n\
              report = \"{report_addr}\"\n\
              [upstream]\naddr = \"{}\"\n[store]\naddr = \"{}\"\n\
-             [retries]\nratio = 0.1\nburst = 20\n[stop]\ngrace_s = 6\n",
+             [retries]\nratio = 0.1\nburst = 20\n[stop]\ngrace_s = 6\n\
+             [limits]\nmax_body_bytes = 67108864\n",
             instance.addr(),
             store.addr(),
         );
--- a/crates/poplartrail-stand/src/hosted/wire.rs
+++ b/crates/poplartrail-stand/src/hosted/wire.rs
@@ -39,6 +39,11 @@
         drop(self.stream.write_all(bytes));
     }
 
+    /// Writes raw bytes and returns whether the peer may still read them.
+    pub(super) fn try_write(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
+    }
+
     fn fill(&mut self) -> Option<()> {
         let mut chunk = [0; 4096];
         let len = self.stream.read(&mut chunk).ok().filter(|len| *len > 0)?;
--- a/crates/poplartrail-store/src/client.rs
+++ b/crates/poplartrail-store/src/client.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use metrics::counter;
-use poplartrail_http::h1::{ClientConnection, ClientOptions, ExchangeError, encode_request};
+use poplartrail_http::{
+    ByteBudget,
+    h1::{ClientConnection, ClientOptions, ExchangeError, encode_request},
+};
 use poplartrail_platform::store::{KeyedRecord, StoreCall, decode_newest, newest_call};
 use tokio::time::timeout;
 
@@ -126,6 +129,7 @@
             keepalive_interval: KEEPALIVE_INTERVAL,
             max_head_bytes: MAX_HEAD_BYTES,
             max_body_bytes: MAX_BODY_BYTES,
+            body_budget: ByteBudget::new(MAX_BODY_BYTES),
         };
         ClientConnection::connect(self.addr, options).await
     }
--- a/crates/poplartrail-wire/src/convert/member.rs
+++ b/crates/poplartrail-wire/src/convert/member.rs
@@ -1,6 +1,6 @@
 //! Records of the member streams in the platform log.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use poplartrail_core::{
     keys::{KeySlot, LeaseChange, LeaseTerms},
@@ -51,8 +51,8 @@
             incarnation: member.incarnation,
             service: ServiceName::new(&member.service)?,
             zone: ZoneName::new(&member.zone)?,
-            addr: member.addr.parse().map_err(|_| WireError::InvalidValue("address"))?,
-            report_addr: member.report.parse().map_err(|_| WireError::InvalidValue("address"))?,
+            addr: decode_addr(&member.addr)?,
+            report_addr: decode_addr(&member.report)?,
         },
         state: if record.draining { MemberState::Draining } else { MemberState::Serving },
         terms: LeaseTerms {
@@ -68,6 +68,13 @@
     })
 }
 
+/// Decodes an address that a node can connect to.
+fn decode_addr(text: &str) -> Result<SocketAddr, WireError> {
+    let addr: Option<SocketAddr> = text.parse().ok();
+    addr.filter(|addr| addr.port() != 0 && !addr.ip().is_unspecified())
+        .ok_or(WireError::InvalidValue("address"))
+}
+
 fn slot_change_to_wire(change: &SlotChange) -> wire::SlotChange {
     use wire::slot_change::Kind;
     let (kind, last_accepted) = match change.lease_change {
