--- a/crates/poplartrail-bench/src/bin/fleet/hosted.rs
+++ b/crates/poplartrail-bench/src/bin/fleet/hosted.rs
@@ -24,6 +24,17 @@
 /// written.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
+/// Load of a measurement.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Load {
+    /// Requests per second that the caller of each node sends.
+    pub(crate) rate: u32,
+    /// Time that an instance takes for a request, in milliseconds.
+    pub(crate) work_ms: u64,
+    /// Length of each of the two measurements.
+    pub(crate) duration: Duration,
+}
+
 /// Nodes of one fleet with their instances, and the store that they share.
 struct HostedFleet {
     _store: StandStore,
@@ -36,9 +47,10 @@
     wakeups: u64,
 }
 
-/// Measures a fleet of `nodes` nodes, first under `rate` requests per second and node, then at rest
-/// with all connections between the nodes still open.
-pub(crate) fn measure(nodes: usize, rate: u32, duration: Duration) {
+/// Measures a fleet of `nodes` nodes, first under `load`, then at rest with all connections between
+/// the nodes still open.
+pub(crate) fn measure(nodes: usize, load: Load) {
+    let Load { rate, work_ms, duration } = load;
     let mut fleet = HostedFleet::start(nodes);
     fleet.send_heartbeats();
     let served = Arc::new(AtomicU64::new(0));
@@ -47,7 +59,7 @@
         .map(|(index, (node, _))| {
             let (caller, served, is_stopping) =
                 (node.caller(), served.clone(), is_stopping.clone());
-            thread::spawn(move || send_requests(caller, index, rate, &served, &is_stopping))
+            thread::spawn(move || send_requests(caller, index, load, &served, &is_stopping))
         })
         .collect();
     thread::sleep(WARM_UP);
@@ -56,7 +68,7 @@
     let (after, served_after) = (fleet.usage(), served.load(Ordering::Relaxed));
     let requests = (served_after - served_before) as f64;
     println!(
-        "{nodes} hosted nodes, {rate} requests/s a node: {requests} served, {:.0} us and {:.1} \
+        "{nodes} hosted nodes, {rate} requests/s a node of {work_ms} ms: {requests} served, {:.0} us and {:.1} \
          wake-ups a request, {:.2}% of a core a node, {} KiB at most",
         1e6 * (total(&after.threads) - total(&before.threads)) / requests,
         (after.wakeups - before.wakeups) as f64 / requests,
@@ -131,24 +143,25 @@
     }
 }
 
-/// Sends requests at `rate` per second, alternately to the two services, until told to stop.
+/// Sends requests, alternately to the two services, until told to stop.
 fn send_requests(
     mut caller: HostedCaller,
     index: usize,
-    rate: u32,
+    load: Load,
     served: &AtomicU64,
     is_stopping: &AtomicBool,
 ) {
-    let interval = Duration::from_secs(1) / rate;
+    let interval = Duration::from_secs(1) / load.rate;
     let mut next = Instant::now() + interval.mul_f64(index as f64 / 64.0);
     let mut number = 0_u64;
     while !is_stopping.load(Ordering::Relaxed) {
         thread::sleep(next.saturating_duration_since(Instant::now()));
         next += interval;
         number += 1;
-        let path = if number.is_multiple_of(2) { "/read/ok" } else { "/read/swaps/ok" };
+        let prefix = if number.is_multiple_of(2) { "/read" } else { "/read/swaps" };
+        let path = format!("{prefix}/slow-{}", load.work_ms);
         let id = format!("{:x}", (index as u64) << 32 | number);
-        let reply = caller.call("GET", HOST, path, &id);
+        let reply = caller.call("GET", HOST, &path, &id);
         if reply.is_some_and(|reply| reply.status == 200) {
             served.fetch_add(1, Ordering::Relaxed);
         }
--- a/crates/poplartrail-bench/src/bin/fleet/main.rs
+++ b/crates/poplartrail-bench/src/bin/fleet/main.rs
@@ -44,6 +44,9 @@
         /// Requests per second that the callers of each node send, 20 by default
         #[bpaf(fallback(20))]
         rate: u32,
+        /// Time that an instance takes for a request in milliseconds, 30 by default
+        #[bpaf(fallback(30))]
+        work_ms: u64,
         /// Length of each measurement in seconds, 10 by default
         #[bpaf(fallback(10))]
         seconds: u64,
@@ -68,10 +71,10 @@
                 measure_idle(nodes, seconds).await;
             }
         }
-        Measure::Hosted { rate, seconds, nodes } => {
-            let duration = Duration::from_secs(seconds);
+        Measure::Hosted { rate, work_ms, seconds, nodes } => {
+            let load = hosted::Load { rate, work_ms, duration: Duration::from_secs(seconds) };
             for nodes in nodes {
-                hosted::measure(nodes, rate, duration);
+                hosted::measure(nodes, load);
             }
         }
         Measure::Calls { calls } => measure_calls(calls).await,
