--- a/crates/poplartrail-node/src/adapters/peers/run.rs
+++ b/crates/poplartrail-node/src/adapters/peers/run.rs
@@ -14,8 +14,8 @@
 };
 use poplartrail_wire::call;
 use quinn::{
-    AckFrequencyConfig, ClientConfig, Endpoint, EndpointConfig, IdleTimeout, ServerConfig,
-    TokioRuntime, TransportConfig, VarInt,
+    ClientConfig, Endpoint, EndpointConfig, IdleTimeout, ServerConfig, TokioRuntime,
+    TransportConfig, VarInt,
 };
 use quinn_proto::RandomConnectionIdGenerator;
 use tokio::{sync::watch, task::AbortHandle, time::timeout};
@@ -39,11 +39,6 @@
 /// Round-trip time assumed until one has been measured. It is short, so that a lost first packet is
 /// soon sent again: nodes of one region answer within a few milliseconds.
 const INITIAL_RTT: Duration = Duration::from_millis(50);
-/// Time for which the peer may withhold the acknowledgement of a packet, so that it goes with the
-/// reply of most calls and not in a packet of its own. A lost packet is sent again that much later.
-const MAX_ACK_DELAY: Duration = Duration::from_millis(60);
-/// Number of packets that the peer may receive before it acknowledges them without that delay.
-const ACK_THRESHOLD: u32 = 8;
 /// Maximum number of concurrent calls from another node on one connection. Both ends reserve memory
 /// for all of them when the connection opens: about 100 bytes each.
 const MAX_STREAMS: u32 = 512;
@@ -119,9 +114,6 @@
     transport.max_concurrent_uni_streams(VarInt::from_u32(0));
     transport.initial_rtt(INITIAL_RTT);
     transport.max_idle_timeout(IdleTimeout::try_from(IDLE_TIMEOUT).ok());
-    let mut ack_frequency = AckFrequencyConfig::default();
-    ack_frequency.ack_eliciting_threshold(ACK_THRESHOLD.into()).max_ack_delay(Some(MAX_ACK_DELAY));
-    transport.ack_frequency_config(Some(ack_frequency));
     Arc::new(transport)
 }
 
