Measure a planned stop by the clock

Cause: the stop counted its pauses by what it had asked for. Ruled out: calls that never end, since the last step answers all of them. Change: Close and Terminate come at fixed times after the stop signal. Test delayed_stop_ends_within_grace_period. Conclusion: a stop ends in time however late the pauses end, but for the last 0.25 s.

--- a/crates/poplartrail-node/src/daemon/hosted.rs
+++ b/crates/poplartrail-node/src/daemon/hosted.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::Arc,
     thread::{JoinHandle, sleep},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -82,9 +82,10 @@
         kv: { event = "start", upstream = settings.upstream_addr.to_string().as_str() }
     );
     await_stop_signal(signals);
+    let stopping_at = Instant::now();
     spdlog::info!("node {} is draining", settings.vm, kv: { event = "stop" });
     shutting_down_tx.send_replace(true);
-    drain(settings, &threads.decide, &drained);
+    drain(settings, stopping_at, &threads.decide, &drained);
     threads.close_peer_connections();
     spdlog::info!("node {} stopped", settings.vm, kv: { event = "stopped" });
     Ok(())
@@ -163,7 +164,8 @@
     }
 }
 
-/// Stops the node in three steps within the grace period.
+/// Stops the node in three steps within the grace period, which began at `stopping_at`. The times are
+/// read from the clock: on a busy VM each pause lasts longer than asked for.
 ///
 /// 1. `Drain`: the readiness check fails, but the node still serves all requests.
 /// 2. `Close`, at most [`CALLER_DEPARTURE_TIME`] later: the node refuses queued and new requests,
@@ -172,18 +174,18 @@
 ///    get their final reply.
 fn drain(
     settings: &HostedSettings,
+    stopping_at: Instant,
     decide: &RingSender<DecideMessage>,
     drained: &watch::Receiver<bool>,
 ) {
     let max_wait = settings.grace_period.saturating_sub(EXIT_MARGIN);
-    let mut waited = Duration::ZERO;
+    let close_at = stopping_at + CALLER_DEPARTURE_TIME.min(max_wait / 2);
+    let terminate_at = stopping_at + max_wait;
     send_step(decide, Input::Drain);
-    sleep(CALLER_DEPARTURE_TIME.min(max_wait / 2));
-    waited += CALLER_DEPARTURE_TIME.min(max_wait / 2);
+    sleep(close_at.saturating_duration_since(Instant::now()));
     send_step(decide, Input::Close);
-    while waited < max_wait && !*drained.borrow() {
+    while Instant::now() < terminate_at && !*drained.borrow() {
         sleep(DRAIN_POLL_INTERVAL);
-        waited += DRAIN_POLL_INTERVAL;
     }
     send_step(decide, Input::Terminate);
     sleep(FINAL_REPLY_TIME);
--- a/crates/poplartrail-node/tests/hosted_stop.rs
+++ b/crates/poplartrail-node/tests/hosted_stop.rs
@@ -3,12 +3,21 @@
 //! Guards against requests that are lost or wrongly reported during a stop, and against a restarted
 //! node that uses its instance before it knows whether the instance takes work.
 
-use std::{thread::sleep, time::Duration};
+use std::{
+    thread::sleep,
+    time::{Duration, Instant},
+};
 
 use poplartrail_stand::hosted::{HostedNode, StandInstance, StandStore};
 
 const SITE: &str = include_str!("sites/small.json");
 const HOST: &str = "routes.example";
+/// Grace period in the settings of the stand-in platform.
+const GRACE_PERIOD: Duration = Duration::from_secs(6);
+/// Time after the stop signal at which callers still send requests.
+const CALLERS_LEAVE: Duration = Duration::from_millis(2_100);
+/// Time for which a node is suspended.
+const SUSPENSION: Duration = Duration::from_millis(1_000);
 
 fn two_nodes() -> (StandStore, [StandInstance; 2], [HostedNode; 2]) {
     let store = StandStore::start();
@@ -60,6 +69,30 @@
     );
 }
 
+/// On a VM that is busy or was suspended for a while, the pauses of the stop last longer. A process
+/// that is still there at the end of the grace period is killed, and its last replies with it.
+#[test]
+fn delayed_stop_ends_within_grace_period() {
+    let (_store, _instance, mut node) = HostedNode::start_single(SITE);
+    let stopping_at = Instant::now();
+    node.process().signal("TERM");
+    sleep(CALLERS_LEAVE);
+    // This request outlasts the grace period.
+    let mut running = node.caller();
+    running.send("GET", HOST, "/read/slow-3900", "h1");
+    sleep(Duration::from_millis(500));
+    node.process().signal("STOP");
+    sleep(SUSPENSION);
+    node.process().signal("CONT");
+    assert!(running.read().is_some(), "no final reply");
+    let left = GRACE_PERIOD.saturating_sub(stopping_at.elapsed());
+    assert_eq!(
+        node.process_mut().wait(left),
+        Some(0),
+        "still running at the end of the grace period"
+    );
+}
+
 #[test]
 fn late_request_is_refused_as_not_run() {
     let (_store, instances, nodes) = two_nodes();
