--- a/crates/poplartrail-node/src/main.rs
+++ b/crates/poplartrail-node/src/main.rs
@@ -6,9 +6,6 @@
 use poplartrail_node::daemon::{self, DaemonError};
 use poplartrail_settings::node::{HostedSettings, NodeSettings};
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 /// Runs the overload control node of one upstream VM.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
