Read member records at a pace that fits the size of the fleet

Each announcement ends the waiting reads of all nodes, and the pause between two reads was 150 ms at any size, so that the reads grow with the square of the nodes. Ruled out: repeated announcements (one for each change of state), reads of the configuration (long polls of 20 s), retries. What must be known sooner comes from the node itself: its refusals, its notice to peers. Conclusion: the reads of a node no longer grow with the fleet.

--- a/crates/poplartrail-bench/src/bin/fleet/hosted.rs
+++ b/crates/poplartrail-bench/src/bin/fleet/hosted.rs
@@ -16,6 +16,11 @@
 
 /// Configuration of the fleet: half of the nodes serve `routes`, the others `swaps`.
 const SITE: &str = include_str!("../../../../poplartrail-node/tests/sites/small.json");
+/// Topic of the store that holds the member records.
+const MEMBERS_TOPIC: &str = "keyed.members";
+/// Time between the first heartbeats of two instances. They register one after the other, as on a
+/// platform that starts hundreds of machines.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(30);
 /// Virtual host of the routes.
 const HOST: &str = "routes.example";
 /// Time for the nodes to learn of each other, and for the callers to reach their rate.
@@ -37,7 +42,7 @@
 
 /// Nodes of one fleet with their instances, and the store that they share.
 struct HostedFleet {
-    _store: StandStore,
+    store: StandStore,
     nodes: Vec<(HostedNode, StandInstance)>,
 }
 
@@ -63,6 +68,10 @@
         })
         .collect();
     thread::sleep(WARM_UP);
+    println!(
+        "{nodes} hosted nodes have started: {:.1} reads of the members a node",
+        f64::from(fleet.store.reads(MEMBERS_TOPIC)) / nodes as f64,
+    );
     let (before, served_before) = (fleet.usage(), served.load(Ordering::Relaxed));
     thread::sleep(duration);
     let (after, served_after) = (fleet.usage(), served.load(Ordering::Relaxed));
@@ -115,7 +124,7 @@
         for (node, _) in &nodes {
             node.await_ready();
         }
-        Self { _store: store, nodes }
+        Self { store, nodes }
     }
 
     /// Registers each instance at its node. One heartbeat is enough for the time of a measurement.
@@ -123,6 +132,7 @@
         for (node, instance) in &mut self.nodes {
             let status = node.send_heartbeat(instance, "ready");
             assert_eq!(status, 200, "the node should accept the heartbeat");
+            thread::sleep(HEARTBEAT_INTERVAL);
         }
     }
 
--- a/crates/poplartrail-core/src/member/mod.rs
+++ b/crates/poplartrail-core/src/member/mod.rs
@@ -2,8 +2,10 @@
 
 mod member_info;
 mod membership;
+mod read_pause;
 mod record;
 
 pub use member_info::Member;
 pub use membership::{MemberEntry, Membership};
+pub use read_pause::read_pause;
 pub use record::{MemberRecord, MemberState, SlotChange};
--- a/crates/poplartrail-node/src/adapters/store/follow.rs
+++ b/crates/poplartrail-node/src/adapters/store/follow.rs
@@ -1,9 +1,13 @@
 //! Reader of one topic of the store.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, time::Duration};
 
 use http::StatusCode;
-use poplartrail_core::{engine::Input, member::MemberRecord};
+use poplartrail_core::{
+    engine::Input,
+    member::{MemberRecord, read_pause},
+    names::VmName,
+};
 use poplartrail_platform::store::{
     CONFIG_KEY, KeyedRecord, MEMBERS_TOPIC, OPERATOR_TOPIC, decode_records, read_call,
 };
@@ -42,16 +46,6 @@
             Topic::Members => MEMBERS_TOPIC,
         }
     }
-
-    /// Returns the delay before the next read, during which further records accumulate. Each
-    /// announcement ends the long polls of all nodes, so without a delay, the number of reads would
-    /// grow with the square of the number of nodes that restart together.
-    fn batch_delay(self) -> Duration {
-        match self {
-            Topic::Operator => Duration::ZERO,
-            Topic::Members => Duration::from_millis(150),
-        }
-    }
 }
 
 /// Reads a topic until the process exits and passes its records to the decide thread.
@@ -61,6 +55,7 @@
         client: StoreClient::new(store),
         decide,
         next_offset: None,
+        members: HashSet::new(),
         backoff: Backoff::new(BACKOFF_RANGE.0, BACKOFF_RANGE.1),
     };
     loop {
@@ -68,7 +63,7 @@
             Ok(has_records) => {
                 reader.record_success();
                 if has_records {
-                    sleep(topic.batch_delay()).await;
+                    sleep(reader.pause()).await;
                 }
             }
             Err(err) => reader.back_off(&err).await,
@@ -82,10 +77,20 @@
     decide: RingSender<DecideMessage>,
     /// Offset of the next record. `None` until the newest record of each key has been read.
     next_offset: Option<u64>,
+    /// VMs whose records have been read.
+    members: HashSet<VmName>,
     backoff: Backoff,
 }
 
 impl TopicReader {
+    /// Returns the delay before the next read, during which further records accumulate.
+    fn pause(&self) -> Duration {
+        match self.topic {
+            Topic::Operator => Duration::ZERO,
+            Topic::Members => read_pause(self.members.len()),
+        }
+    }
+
     /// Reads the next records and forwards them. Returns whether there were any.
     async fn read_batch(&mut self) -> Result<bool, StoreError> {
         match self.next_offset {
@@ -122,7 +127,7 @@
         Ok(has_records)
     }
 
-    async fn forward(&self, records: Vec<KeyedRecord>) {
+    async fn forward(&mut self, records: Vec<KeyedRecord>) {
         let input = match self.topic {
             Topic::Operator => {
                 // Only the newest configuration counts. The node decodes it as the site's document.
@@ -130,7 +135,9 @@
                 config.map(|record| Input::SiteDocument(record.value))
             }
             Topic::Members => {
-                Some(Input::PeerMembers(records.iter().filter_map(decode_member).collect()))
+                let members: Vec<_> = records.iter().filter_map(decode_member).collect();
+                self.members.extend(members.iter().map(|record| record.member.vm.clone()));
+                Some(Input::PeerMembers(members))
             }
         };
         if let Some(input) = input {
--- a/crates/poplartrail-stand/src/hosted/node.rs
+++ b/crates/poplartrail-stand/src/hosted/node.rs
@@ -170,10 +170,14 @@
 
     /// Returns the number of calls in progress at the instance, from the status page of the node.
     pub fn in_flight(&self) -> Option<u64> {
+        self.status()?["in_flight"].as_u64()
+    }
+
+    /// Returns the status page of the node.
+    pub fn status(&self) -> Option<serde_json::Value> {
         let mut caller = HostedCaller::try_connect(self.report_addr)?;
         caller.write(b"GET /status HTTP/1.1\r\nhost: n\r\n\r\n");
-        let status: serde_json::Value = serde_json::from_str(&caller.read()?.body).ok()?;
-        status["in_flight"].as_u64()
+        serde_json::from_str(&caller.read()?.body).ok()
     }
 
     /// Returns the status of the readiness check, or 0 if the node does not respond.
--- a/crates/poplartrail-stand/src/hosted/store.rs
+++ b/crates/poplartrail-stand/src/hosted/store.rs
@@ -44,6 +44,8 @@
     is_silent: bool,
     lost_responses: u32,
     appends: u32,
+    /// Reads by offset that have begun, by topic.
+    reads: HashMap<String, u32>,
 }
 
 /// A stand-in store on loopback.
@@ -67,6 +69,11 @@
         self.addr
     }
 
+    /// Returns the number of reads of `topic` by offset that have begun.
+    pub fn reads(&self, topic: &str) -> u32 {
+        self.lock().reads.get(topic).copied().unwrap_or_default()
+    }
+
     /// Publishes the configuration of the site, as operators do.
     pub fn publish(&self, document: &str) {
         self.put("keyed.op", b"config", document.as_bytes());
@@ -171,6 +178,7 @@
         let wait_ms: u64 = query["wait-ms"].parse().expect("the wait should be a number");
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.lock();
+        *state.reads.entry(query["topic"].to_owned()).or_default() += 1;
         loop {
             let topic = state.topics.entry(query["topic"].to_owned()).or_default();
             if from < topic.first {
