--- a/crates/poplartrail-stand/src/hosted/wire.rs
+++ b/crates/poplartrail-stand/src/hosted/wire.rs
@@ -10,7 +10,7 @@
 use poplartrail_http::h1::{BodyDecoder, RequestHead, parse_request_head};
 
 /// Largest head, and largest body, that a stand-in reads, in bytes.
-const MAX_BYTES: usize = 1 << 20;
+const MAX_BYTES: usize = 32 << 20;
 
 /// One accepted connection of a stand-in.
 pub(super) struct ServerConnection {
