--- a/crates/poplartrail-bench/src/bin/fleet/hosted.rs
+++ b/crates/poplartrail-bench/src/bin/fleet/hosted.rs
@@ -16,8 +16,6 @@
 
 /// Configuration of the fleet: half of the nodes serve `routes`, the others `swaps`.
 const SITE: &str = include_str!("../../../../poplartrail-node/tests/sites/small.json");
-/// Topic of the store that holds the member records.
-const MEMBERS_TOPIC: &str = "keyed.members";
 /// Time between the first heartbeats of two instances. They register one after the other, as on a
 /// platform that starts hundreds of machines.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(30);
@@ -69,8 +67,8 @@
         .collect();
     thread::sleep(WARM_UP);
     println!(
-        "{nodes} hosted nodes have started: {:.1} reads of the members a node",
-        f64::from(fleet.store.reads(MEMBERS_TOPIC)) / nodes as f64,
+        "{nodes} hosted nodes have started: {:.1} reads of members and configuration a node",
+        f64::from(fleet.store.total_reads()) / nodes as f64,
     );
     let (before, served_before) = (fleet.usage(), served.load(Ordering::Relaxed));
     thread::sleep(duration);
--- a/crates/poplartrail-stand/src/hosted/store.rs
+++ b/crates/poplartrail-stand/src/hosted/store.rs
@@ -74,6 +74,11 @@
         self.lock().reads.get(topic).copied().unwrap_or_default()
     }
 
+    /// Returns the number of reads by offset that have begun.
+    pub fn total_reads(&self) -> u32 {
+        self.lock().reads.values().sum()
+    }
+
     /// Publishes the configuration of the site, as operators do.
     pub fn publish(&self, document: &str) {
         self.put("keyed.op", b"config", document.as_bytes());
