Count an upstream that turns calls away as full

Such an upstream (srv_grey) answers fast, so its gate looks idle: the report says load 0, and zone affinity sends it every call of its zone, each of which fails the request that it belongs to. Retries cannot make up for it, since a call that was turned away counts against the site's ratio. Change: the gate keeps a moving average of the calls that its upstream turns away without running them. From a fifth on it reports twice its full load, so that callers use an instance with room, in another zone if need be, and come back within a second or two. No message changes; an upstream that everybody depends on still gets its calls if none has room. When all shed, requests of several calls still fail; the repeats would have to go to the same whole requests.

--- a/crates/poplartrail-core/src/engine/calls.rs
+++ b/crates/poplartrail-core/src/engine/calls.rs
@@ -12,7 +12,7 @@
         active_call::{ActiveCall, Stage},
         timers::Timers,
     },
-    gate::{Gate, GateOptions, GoodputController, GradientLimit, Limiter},
+    gate::{Gate, GateOptions, GoodputController, GradientLimit, Limiter, RejectionRate},
     keys::{IdempotencyKey, Ledger},
     member::Member,
     names::{InstanceName, RankName, ServiceName, VmName},
@@ -68,6 +68,7 @@
     pub(crate) policy: Arc<Policy>,
     pub(crate) options: CallOptions,
     pub(crate) gate: Gate,
+    pub(crate) rejections: RejectionRate,
     pub(crate) router: Router,
     pub(crate) retry_tokens: RetryTokenBucket,
     pub(crate) retry_budgets: RetryBudgetCache,
@@ -107,6 +108,7 @@
         let router = Router::new(local_member.zone.clone());
         let mut calls = Self {
             gate,
+            rejections: RejectionRate::default(),
             router,
             retry_tokens: RetryTokenBucket::new(
                 policy.bounds.retry_ratio,
--- a/crates/poplartrail-core/src/engine/ending.rs
+++ b/crates/poplartrail-core/src/engine/ending.rs
@@ -23,8 +23,12 @@
 /// zones, and a scheduling delay on a busy processor at both ends.
 const REFUSAL_TRANSIT_TIME: Duration = Duration::from_millis(20);
 
+/// Smallest load that a gate reports while its upstream turns calls away, in units of 1/1024 of its
+/// limit. As reported loads age, the instance counts as full for a second after each report.
+const SHEDDING_LOAD: u16 = 2 * 1024;
+
 /// Returns the calls at a gate in units of 1/1024 of its limit.
-pub(crate) fn gate_load(in_flight: usize, queued: usize, limit: usize) -> u16 {
+fn gate_load(in_flight: usize, queued: usize, limit: usize) -> u16 {
     let load = (in_flight + queued) as f64 / limit.max(1) as f64;
     (load * 1024.0).min(f64::from(u16::MAX)) as u16
 }
@@ -134,6 +138,13 @@
         is_node_draining || self.upstream_refusal == Some(Refusal::Draining)
     }
 
+    /// Returns the load that the node reports, in units of 1/1024 of the gate's limit. An upstream
+    /// that turns calls away counts as full.
+    pub(crate) fn load(&self, now: Time) -> u16 {
+        let load = gate_load(self.gate.in_flight(), self.gate.queued(), self.gate.limit());
+        if self.rejections.is_shedding(now) { load.max(SHEDDING_LOAD) } else { load }
+    }
+
     /// Returns the state of the gate, which travels back with a reply.
     pub(crate) fn gate_report(
         &mut self,
@@ -141,7 +152,7 @@
         rank: RankIndex,
         unspent_retries: RetryBudget,
     ) -> GateReport {
-        let load = gate_load(self.gate.in_flight(), self.gate.queued(), self.gate.limit());
+        let load = self.load(cx.now);
         // A gate that does not divide its capacity has no shares of other ranks to report.
         let reported = if self.options.divides_capacity { self.policy.ranks.len() } else { 0 };
         let ranks = (0..reported).map(|rank| RankIndex(rank as u8));
--- a/crates/poplartrail-core/src/engine/returns.rs
+++ b/crates/poplartrail-core/src/engine/returns.rs
@@ -98,6 +98,9 @@
             }
             None => return,
         };
+        if !matches!(result, Err(UpstreamFault::NotConnected | UpstreamFault::Lost)) {
+            self.rejections.record(cx.now, matches!(result, Err(UpstreamFault::Rejected)));
+        }
         let upstream_outcome = match &result {
             Ok(answer) if answer.is_overload() => UpstreamOutcome::Overloaded,
             Ok(_) => UpstreamOutcome::Answered,
--- a/crates/poplartrail-core/src/engine/sending.rs
+++ b/crates/poplartrail-core/src/engine/sending.rs
@@ -8,7 +8,6 @@
     call::{Arrived, Call, Idempotency, Outcome, Refusal, RetryBudget, UnknownReason},
     engine::{
         CallKey, Calls, EventKind, Output, PeerCall, active_call::Stage, calls::DecisionContext,
-        ending::gate_load,
     },
     keys::{Home, IdempotencyKey, LeaseTerms},
     member::{MemberRecord, MemberState},
@@ -52,7 +51,7 @@
         let rank = self.active_calls[key].rank;
         let shed_position = call.context().request_id.shed_position();
         let random = self.random();
-        self.update_local_load();
+        self.update_local_load(cx.now);
         let choice = self.router.choose(cx.now, call.service(), rank, shed_position, avoid, random);
         let choice = match choice {
             // The instance to avoid is better than none.
@@ -232,7 +231,7 @@
         let avoid = active_call.instance;
         let is_full = matches!(reason, Refusal::QueueFull | Refusal::Overload);
         if is_full {
-            self.update_local_load();
+            self.update_local_load(cx.now);
             let random = self.random();
             let choice = self.router.choose_with_room(cx.now, call.service(), avoid, random);
             let InstanceChoice::Send(instance) = choice else {
@@ -260,10 +259,9 @@
     }
 
     /// Updates the load of the local instance in the router from the gate.
-    fn update_local_load(&mut self) {
-        let (in_flight, queued) = (self.gate.in_flight(), self.gate.queued());
-        let load = gate_load(in_flight, queued, self.gate.limit());
-        self.router.set_local_load(load, in_flight as u32);
+    fn update_local_load(&mut self, now: Time) {
+        let load = self.load(now);
+        self.router.set_local_load(load, self.gate.in_flight() as u32);
     }
 
     /// Treats every call sent to `instance` as lost, because its connection is replaced.
--- a/crates/poplartrail-core/src/gate/mod.rs
+++ b/crates/poplartrail-core/src/gate/mod.rs
@@ -12,6 +12,7 @@
 mod limiter;
 mod queue;
 mod queue_bound;
+mod rejection_rate;
 mod shares;
 mod vegas_limit;
 
@@ -24,5 +25,6 @@
 pub use gradient_limit::GradientLimit;
 pub use limiter::{LimitAlgorithm, Limiter, Permit, Sample, UpstreamOutcome};
 pub use queue_bound::max_queue_wait;
+pub use rejection_rate::RejectionRate;
 pub use shares::{Demand, allocate_shares};
 pub use vegas_limit::VegasLimit;
