--- a/crates/poplartrail-core/src/engine/event.rs
+++ b/crates/poplartrail-core/src/engine/event.rs
@@ -119,6 +119,13 @@
         /// Version of the configuration.
         version: u64,
     },
+    /// A member record was ignored because its incarnation lies in the future.
+    MemberIgnored {
+        /// VM that the record names.
+        vm: VmName,
+        /// Its incarnation, in milliseconds of Unix time.
+        incarnation: u64,
+    },
     /// The node gained or lost leases of key slots.
     LeasesChanged {
         /// Number of key slots held before.
@@ -156,6 +163,7 @@
             EventKind::RouteChanged { .. } => "route",
             EventKind::ConnectionSilent { .. } => "silent",
             EventKind::ConfigInForce { .. } => "config",
+            EventKind::MemberIgnored { .. } => "ignored",
             EventKind::LeasesChanged { .. } => "leases",
             EventKind::PhaseChanged { .. } => "phase",
         }
@@ -207,6 +215,10 @@
                 write!(f, "connection to {vm} was silent and is replaced")
             }
             EventKind::ConfigInForce { version } => write!(f, "configuration {version} in force"),
+            EventKind::MemberIgnored { vm, incarnation } => write!(
+                f,
+                "member record of {vm} ignored: its start at {incarnation} ms lies in the future"
+            ),
             EventKind::LeasesChanged { from, to } => write!(f, "key slots held {from} -> {to}"),
             EventKind::PhaseChanged { phase } => write!(f, "node is {phase}"),
         }
--- a/crates/poplartrail-core/src/engine/node.rs
+++ b/crates/poplartrail-core/src/engine/node.rs
@@ -5,8 +5,8 @@
 use crate::{
     config::Snapshot,
     engine::{
-        Calls, ClusterState, EventKind, Input, InstanceStatus, LogBatch, NodeOptions, NodePhase,
-        NodeStatus, Output, Phase, PolicySource, RankStatus, calls::DecisionContext,
+        Calls, ClusterState, Event, EventKind, Input, InstanceStatus, LogBatch, NodeOptions,
+        NodePhase, NodeStatus, Output, Phase, PolicySource, RankStatus, calls::DecisionContext,
         routing::HostedState,
     },
     keys::{Home, IdempotencyKey},
@@ -98,7 +98,7 @@
                     self.calls.router_mut().mark_draining(key);
                 }
             }
-            Input::PeerMembers(members) => self.handle_peer_members(now, wall, members),
+            Input::PeerMembers(members) => self.handle_peer_members(now, wall, members, out),
             Input::Wake => self.wake(now, wall, out),
             Input::Drain => self.drain(now, wall, out),
             Input::Close => self.close(now, wall, out),
@@ -347,9 +347,23 @@
 
     /// Applies the records of other members. Ignores those whose incarnation, the time of day at the
     /// start of their process, lies in the future: no later record of the VM could replace them.
-    fn handle_peer_members(&mut self, now: Time, wall: WallTime, mut members: Vec<MemberRecord>) {
+    fn handle_peer_members(
+        &mut self,
+        now: Time,
+        wall: WallTime,
+        mut members: Vec<MemberRecord>,
+        out: &mut Vec<Output>,
+    ) {
         let max_incarnation = (wall + MAX_CLOCK_DIFFERENCE).as_millis();
-        members.retain(|record| record.member.incarnation <= max_incarnation);
+        members.retain(|record| {
+            let Member { vm, incarnation, .. } = &record.member;
+            let is_past = *incarnation <= max_incarnation;
+            if !is_past {
+                let kind = EventKind::MemberIgnored { vm: vm.clone(), incarnation: *incarnation };
+                out.push(Output::RecordEvent(Event { request_id: None, rank: None, kind }));
+            }
+            is_past
+        });
         self.cluster.record_peer_members(&members);
         for record in &members {
             let member = &record.member;
@@ -367,7 +381,7 @@
         self.calls.set_policy(now, Arc::new(policy));
         self.subscribe(callees.unwrap_or_default(), out);
         let kind = EventKind::ConfigInForce { version: self.cluster.config_version() };
-        out.push(Output::RecordEvent(crate::engine::Event { request_id: None, rank: None, kind }));
+        out.push(Output::RecordEvent(Event { request_id: None, rank: None, kind }));
         if matches!(self.phase, NodePhase::Starting(_)) {
             self.phase.serve();
             self.record_phase(out);
--- a/crates/poplartrail-node/tests/odd_entries.rs
+++ b/crates/poplartrail-node/tests/odd_entries.rs
@@ -31,7 +31,8 @@
 }
 
 /// Starts a node, writes entries, and starts another node, which the first one must then reach.
-fn assert_followed_after(write: impl Fn(&StandStore)) {
+/// The log of the first one must then contain `line`.
+fn assert_followed_after(line: &str, write: impl Fn(&StandStore)) {
     let (store, _instance, mut node) = HostedNode::start_single(SITE);
     write(&store);
     let late = StandInstance::start("i-2");
@@ -47,6 +48,7 @@
         });
     };
     reach(&node);
+    node.await_condition("the entry has a log line", || node.output().contains(line));
     // A node that starts later reads the newest entry of each key.
     node.restart();
     node.await_ready();
@@ -62,15 +64,22 @@
 #[test_case("vm-9", &[b'x'; 200_000]; "long entry")]
 #[test_case("vm-9", &[]; "deleted entry")]
 #[test_case("", b"?"; "empty key")]
-#[test_case(LATE_VM, &entry(LATE_VM, u64::MAX, DEAD_ADDR); "incarnation in the future")]
 #[test_case("vm-9", &entry(LATE_VM, u64::MAX, DEAD_ADDR); "key of another VM")]
 fn odd_entry_is_skipped(key: &str, value: &[u8]) {
-    assert_followed_after(|store| store.put(TOPIC, key.as_bytes(), value));
+    assert_followed_after("", |store| store.put(TOPIC, key.as_bytes(), value));
+}
+
+#[test]
+fn incarnation_in_the_future_is_ignored() {
+    let entry = entry(LATE_VM, u64::MAX, DEAD_ADDR);
+    assert_followed_after("lies in the future", |store| {
+        store.put(TOPIC, LATE_VM.as_bytes(), &entry);
+    });
 }
 
 #[test]
 fn thousands_of_odd_entries_are_skipped() {
-    assert_followed_after(|store| {
+    assert_followed_after("", |store| {
         for number in 0..3_000 {
             store.put(TOPIC, format!("odd-{number}").as_bytes(), b"?");
         }
