Show that uploads of other nodes take a node over its memory

Messages of other nodes are read against no common budget, and each upload is held about four times. The nodes of all cases now end with the program that started them.

--- a/review/stand/client.rs
+++ b/review/stand/client.rs
@@ -67,6 +67,27 @@
         self.0.read_message()
     }
 
+    /// Like [`Client::call`], with a body.
+    pub fn call_with_body(
+        &mut self,
+        method: &str,
+        host: &str,
+        path: &str,
+        id: &str,
+        limit_ms: u64,
+        body: &[u8],
+    ) -> Result<Message> {
+        self.0.stream.set_read_timeout(Some(Duration::from_millis(limit_ms)))?;
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: {id}\r\n\
+             X-Deadline-Ms: {limit_ms}\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        self.0.stream.write_all(head.as_bytes())?;
+        self.0.stream.write_all(body)?;
+        self.0.read_message()
+    }
+
     /// Reads an answer slowly: at `bytes_per_s` until `slow_until`, then as fast as it comes.
     /// Returns its status, the length that it states, and the number of bytes that arrived before
     /// the connection ended or the answer was complete.
--- a/review/stand/machine.rs
+++ b/review/stand/machine.rs
@@ -4,6 +4,7 @@
     fs,
     io::Write,
     net::{SocketAddr, TcpStream},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
     time::Duration,
@@ -14,6 +15,22 @@
 /// Longest wait for a node to become ready after its start.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
+unsafe extern "C" {
+    fn prctl(option: i32, value: u64, ...) -> i32;
+}
+
+/// Has the kernel end the calling process when the thread that started it ends, so that no node
+/// outlives a case that is killed. Nodes are started by the main thread.
+fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    // SAFETY: the option takes a signal number.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
 /// One machine, whose node process ends with it.
 pub struct Machine {
     pub name: String,
@@ -75,15 +92,17 @@
     pub fn start_node(&mut self) {
         let log = fs::OpenOptions::new().create(true).append(true).open(self.dir.join("node.log"));
         let log = log.expect("the log is writable");
-        let node = Command::new("target/release/poplartraild")
+        let mut command = Command::new("target/release/poplartraild");
+        command
             .arg("--platform")
             .arg(&self.settings)
             .env("POPLARTRAIL_CONFIG", &self.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("a second handle of the log"))
-            .stderr(log)
-            .spawn()
-            .expect("the node starts");
+            .stderr(log);
+        // SAFETY: the closure makes one system call and allocates nothing.
+        unsafe { command.pre_exec(end_with_parent) };
+        let node = command.spawn().expect("the node starts");
         self.record.line(format!("platform starts the node of {}", self.name));
         self.node = Some(node);
     }
