--- a/review/stand/client.rs
+++ b/review/stand/client.rs
@@ -26,6 +26,11 @@
         Ok(Self(Connection::new(stream)))
     }
 
+    /// Returns a second client on the same connection, to send while this one reads.
+    pub fn try_clone(&self) -> Result<Self> {
+        Ok(Self(Connection::new(self.0.stream.try_clone()?)))
+    }
+
     /// Bounds the bytes that the kernel receives ahead of the client, as small windows do.
     pub fn set_receive_buffer(&self, bytes: i32) {
         const SOL_SOCKET: i32 = 1;
@@ -101,7 +106,7 @@
                 sleep(Duration::from_millis(10));
                 continue;
             }
-            match self.0.read_some(16 << 10) {
+            match self.0.read_some((len - received).min(16 << 10)) {
                 Ok(more) => received += more,
                 Err(_) => break,
             }
