Log where a configuration was read, and count lost reads by topic

The log told when a version came into force, but not whether the store's poll or another node had delivered it, and the failures of the store were counted for all calls together. The line 'configuration N in force' now names its source, and poplartrail_store_read_failures_total counts by topic. No behaviour changes.

--- a/crates/poplartrail-core/src/engine/event.rs
+++ b/crates/poplartrail-core/src/engine/event.rs
@@ -18,6 +18,24 @@
     pub kind: EventKind,
 }
 
+/// Source from which a node has read a configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigSource {
+    /// The platform log, or the platform's store if the node is hosted.
+    Platform,
+    /// Another node.
+    Peer,
+}
+
+impl fmt::Display for ConfigSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ConfigSource::Platform => "the platform",
+            ConfigSource::Peer => "another node",
+        })
+    }
+}
+
 /// Kinds of events.
 #[derive(Debug, Clone, PartialEq)]
 pub enum EventKind {
@@ -118,6 +136,8 @@
     ConfigInForce {
         /// Version of the configuration.
         version: u64,
+        /// Where the node has read it.
+        source: ConfigSource,
     },
     /// A member record was ignored because its incarnation lies in the future.
     MemberIgnored {
@@ -214,7 +234,9 @@
             EventKind::ConnectionSilent { vm } => {
                 write!(f, "connection to {vm} was silent and is replaced")
             }
-            EventKind::ConfigInForce { version } => write!(f, "configuration {version} in force"),
+            EventKind::ConfigInForce { version, source } => {
+                write!(f, "configuration {version} in force, read from {source}")
+            }
             EventKind::MemberIgnored { vm, incarnation } => write!(
                 f,
                 "member record of {vm} ignored: its start at {incarnation} ms lies in the future"
--- a/crates/poplartrail-core/src/engine/mod.rs
+++ b/crates/poplartrail-core/src/engine/mod.rs
@@ -32,7 +32,7 @@
 pub use call_options::CallOptions;
 pub use calls::Calls;
 pub use cluster_state::ClusterState;
-pub use event::{Event, EventKind};
+pub use event::{ConfigSource, Event, EventKind};
 pub use fixed_policy::FixedPolicy;
 pub use input::{
     Arrival, Input, LogBatch, LogRecord, Origin, PeerFault, PeerOutcome, ReplyHandle, ReplyPort,
--- a/crates/poplartrail-core/src/engine/node.rs
+++ b/crates/poplartrail-core/src/engine/node.rs
@@ -5,9 +5,9 @@
 use crate::{
     config::Snapshot,
     engine::{
-        Calls, ClusterState, Event, EventKind, Input, InstanceStatus, LogBatch, NodeOptions,
-        NodePhase, NodeStatus, Output, Phase, PolicySource, RankStatus, calls::DecisionContext,
-        routing::HostedState,
+        Calls, ClusterState, ConfigSource, Event, EventKind, Input, InstanceStatus, LogBatch,
+        NodeOptions, NodePhase, NodeStatus, Output, Phase, PolicySource, RankStatus,
+        calls::DecisionContext, routing::HostedState,
     },
     keys::{Home, IdempotencyKey},
     member::{Member, MemberRecord},
@@ -67,7 +67,9 @@
                 self.with_calls(now, wall, out, |calls, cx| calls.handle_arrival(cx, arrival));
             }
             Input::RequestArrived(request) => self.route_request(now, wall, out, request),
-            Input::SiteDocument(document) => self.apply_site_document(now, &document, out),
+            Input::SiteDocument(document) => {
+                self.apply_site_document(now, &document, ConfigSource::Platform, out);
+            }
             Input::PeerReachable(vm) => self.calls.router_mut().mark_reachable(&vm),
             Input::CallerLeft(reply_to) => {
                 self.with_calls(now, wall, out, |calls, cx| calls.handle_caller_left(cx, reply_to));
@@ -88,9 +90,9 @@
             Input::LogRead { batch, log_now } => self.apply_log_batch(now, batch, log_now, out),
             Input::PeerConfig(snapshot) => {
                 if let Some(document) = &snapshot.site_document {
-                    self.apply_site_document(now, document, out);
+                    self.apply_site_document(now, document, ConfigSource::Peer, out);
                 } else if self.cluster.install_config(&snapshot, self.policy_source.as_ref()) {
-                    self.apply_policy(now, out);
+                    self.apply_policy(now, ConfigSource::Peer, out);
                 }
             }
             Input::PeerDraining(vm) => {
@@ -288,7 +290,7 @@
             LogBatch::Config { oldest, records } => {
                 if self.cluster.apply_config_records(oldest, &records, self.policy_source.as_ref())
                 {
-                    self.apply_policy(now, out);
+                    self.apply_policy(now, ConfigSource::Platform, out);
                 }
             }
             LogBatch::Members { service, oldest, records } => {
@@ -375,12 +377,12 @@
         self.divide_retries();
     }
 
-    fn apply_policy(&mut self, now: Time, out: &mut Vec<Output>) {
+    fn apply_policy(&mut self, now: Time, source: ConfigSource, out: &mut Vec<Output>) {
         let Some(policy) = self.policy_source.policy(&self.cluster) else { return };
         let callees = policy.service(&self.local_member.service).map(|rule| rule.callees.clone());
         self.calls.set_policy(now, Arc::new(policy));
         self.subscribe(callees.unwrap_or_default(), out);
-        let kind = EventKind::ConfigInForce { version: self.cluster.config_version() };
+        let kind = EventKind::ConfigInForce { version: self.cluster.config_version(), source };
         out.push(Output::RecordEvent(Event { request_id: None, rank: None, kind }));
         if matches!(self.phase, NodePhase::Starting(_)) {
             self.phase.serve();
--- a/crates/poplartrail-core/src/engine/routing.rs
+++ b/crates/poplartrail-core/src/engine/routing.rs
@@ -7,7 +7,9 @@
 
 use crate::{
     call::{Idempotency, Refusal},
-    engine::{Arrival, Event, EventKind, Node, NodePhase, Origin, Output, UnroutedRequest},
+    engine::{
+        Arrival, ConfigSource, Event, EventKind, Node, NodePhase, Origin, Output, UnroutedRequest,
+    },
     member::MemberState,
     names::RouteName,
     route::{Instance, InstanceState},
@@ -155,6 +157,7 @@
         &mut self,
         now: Time,
         document: &Bytes,
+        source: ConfigSource,
         out: &mut Vec<Output>,
     ) {
         if self.site_config().is_some_and(|site| site.document == *document) {
@@ -184,7 +187,7 @@
         };
         self.calls.set_policy(now, Arc::new(policy));
         self.cluster.set_site_version(site.version.0);
-        record_event(out, EventKind::ConfigInForce { version: site.version.0 });
+        record_event(out, EventKind::ConfigInForce { version: site.version.0, source });
         out.push(Output::CallerLimits(site.limits));
         if let Some(hosted) = &mut self.hosted {
             let is_kept = |name: &RouteName| site.routes.rules().any(|rule| rule.name == *name);
--- a/crates/poplartrail-node/src/adapters/store/follow.rs
+++ b/crates/poplartrail-node/src/adapters/store/follow.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashSet, net::SocketAddr, time::Duration};
 
 use http::StatusCode;
+use metrics::counter;
 use poplartrail_core::{
     engine::Input,
     member::{MemberRecord, read_pause},
@@ -155,6 +156,8 @@
 
     /// Logs `err` unless the previous attempt failed too, and waits before the next one.
     async fn back_off(&mut self, err: &StoreError) {
+        counter!("poplartrail_store_read_failures_total", "topic" => self.topic.name())
+            .increment(1);
         if self.backoff.failures() == 0 {
             spdlog::warn!("{} cannot be read: {err}", self.topic.name());
         }
