Notice a lost response of the store within seconds, not after 22

The store gives one machine no response for 4.5 s while the operator moves a route.

Cause: a connection on which a response was lost stays open and returns nothing further. A long poll without news looks the same, so the node waited 20 s and 2 s more for the response. Replies of other nodes name a newer version only if one of them has it and the node calls it.

Ruled out: keep-alive probes (the store's machine acknowledges them); the backoff (one failure, then success); decoding and the decide thread (in force 0.1 s after the read). Not taken: polls of 1.25 s on each node, worked out as 152 calls a second for 95 nodes where there were 9.5.

Change: - poll_wait: long polls of exponential length whose mean grows with the fleet, so that all nodes together renew one of the configuration every 0.25 s and one of the members every second, also after a record that ended all of them at once. At most 1.5 s for one node. - StoreHealth: a client of the store that gets no response makes the other clients of its node read again over new connections. The next read is not held and has 1 s. - ConfigCheck: a hosted node asks another one each second whether it has a newer version, three times in its zone, then once in another. AskConfig carries the known version, the reply is Unchanged unless the document is newer, and a node that is asked by one with a newer version asks back. Older builds ignore the field and answer as before. - The exchange of the configuration moves from node.rs to config_exchange.rs.

Related paths: both readers and the announcer share StoreHealth. The reader of the members had the same fault. The platform log of the other mode is polled with a time limit for each response and is not affected.

--- a/crates/poplartrail-core/src/engine/input.rs
+++ b/crates/poplartrail-core/src/engine/input.rs
@@ -246,6 +246,8 @@
     },
     /// Another node sent its configuration.
     PeerConfig(Snapshot),
+    /// The node on this VM has no newer configuration than this one.
+    ConfigConfirmed(VmName),
     /// The node on this VM announced that it is draining.
     PeerDraining(VmName),
     /// Another node sent the members that it knows.
--- a/crates/poplartrail-core/src/engine/mod.rs
+++ b/crates/poplartrail-core/src/engine/mod.rs
@@ -10,6 +10,8 @@
 mod call_options;
 mod calls;
 mod cluster_state;
+mod config_check;
+mod config_exchange;
 mod ending;
 mod event;
 mod fixed_policy;
--- a/crates/poplartrail-core/src/engine/node.rs
+++ b/crates/poplartrail-core/src/engine/node.rs
@@ -3,11 +3,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
-    config::Snapshot,
     engine::{
         Calls, ClusterState, ConfigSource, Event, EventKind, Input, InstanceStatus, LogBatch,
         NodeOptions, NodePhase, NodeStatus, Output, Phase, PolicySource, RankStatus,
-        calls::DecisionContext, routing::HostedState,
+        calls::DecisionContext, config_check::ConfigCheck, routing::HostedState,
     },
     keys::{Home, IdempotencyKey},
     member::{Member, MemberRecord},
@@ -17,8 +16,6 @@
     time::{Time, WallTime},
 };
 
-/// Minimum time between two rounds of requests to the seeds.
-const SEED_ASK_INTERVAL: Duration = Duration::from_secs(1);
 /// Largest difference assumed between the clocks of two VMs.
 const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(3600);
 /// Random keys that [`Node::mint_key`] tries until it finds one with its home on this node.
@@ -32,10 +29,11 @@
     pub(super) phase: NodePhase,
     pub(super) policy_source: Box<dyn PolicySource + Send>,
     pub(super) hosted: Option<HostedState>,
-    seeds: Vec<(VmName, SocketAddr)>,
-    next_ask_seeds_at: Time,
+    pub(super) seeds: Vec<(VmName, SocketAddr)>,
+    pub(super) next_ask_seeds_at: Time,
     reported_key_slots: usize,
     is_drained: bool,
+    pub(super) config_check: ConfigCheck,
 }
 
 impl Node {
@@ -57,6 +55,7 @@
             next_ask_seeds_at: Time::ZERO,
             reported_key_slots: 0,
             is_drained: false,
+            config_check: ConfigCheck::default(),
         }
     }
 
@@ -95,6 +94,7 @@
                     self.apply_policy(now, ConfigSource::Peer, out);
                 }
             }
+            Input::ConfigConfirmed(vm) => self.config_check.record_reply(&vm),
             Input::PeerDraining(vm) => {
                 if let Some((key, _)) = self.calls.router().get_by_vm(&vm) {
                     self.calls.router_mut().mark_draining(key);
@@ -113,7 +113,9 @@
     /// Returns the earliest time at which the node needs an [`Input::Wake`].
     pub fn next_wake(&self) -> Time {
         match self.phase {
-            NodePhase::Serving(_) if self.hosted.is_some() => self.calls.next_wake(),
+            NodePhase::Serving(_) if self.hosted.is_some() => {
+                self.calls.next_wake().min(self.config_check.next_at())
+            }
             NodePhase::Serving(_) => self.calls.next_wake().min(self.cluster.next_wake()),
             _ => self.calls.next_wake(),
         }
@@ -173,14 +175,6 @@
         self.calls.router_mut().upsert(&member.service, instance);
     }
 
-    /// Returns the configuration in force in the form that other nodes receive.
-    pub fn config_snapshot(&self) -> Option<Snapshot> {
-        match self.site_config() {
-            Some(site) => Some(Snapshot::of_hosted_node(site.version.0, site.document.clone())),
-            None => self.cluster.config_state().snapshot(),
-        }
-    }
-
     /// Returns a summary for status pages and metrics.
     pub fn status(&mut self, now: Time) -> NodeStatus {
         let ranks = self.rank_statuses(now);
@@ -271,7 +265,7 @@
             NodePhase::Starting(_) => self.ask_seeds(now, out),
             // The store keeps the newest record of each key, so a hosted node has nothing to
             // repeat.
-            NodePhase::Serving(_) if self.hosted.is_some() => {}
+            NodePhase::Serving(_) if self.hosted.is_some() => self.check_config(now, out),
             NodePhase::Serving(_) => {
                 self.cluster.wake(now, &policy, self.calls.last_accepted, out);
             }
@@ -408,23 +402,6 @@
         }
     }
 
-    /// Asks the seeds for configuration and members while there is no configuration, in case the
-    /// log cannot be read.
-    fn ask_seeds(&mut self, now: Time, out: &mut Vec<Output>) {
-        if self.seeds.is_empty() || now < self.next_ask_seeds_at {
-            return;
-        }
-        self.next_ask_seeds_at = now + SEED_ASK_INTERVAL;
-        for (vm, addr) in &self.seeds {
-            out.push(Output::AskConfig { addr: *addr, vm: vm.clone() });
-            out.push(Output::AskMembers {
-                addr: *addr,
-                vm: vm.clone(),
-                local_record: self.calls.local_record(),
-            });
-        }
-    }
-
     fn drain(&mut self, now: Time, wall: WallTime, out: &mut Vec<Output>) {
         if self.phase.is_draining() {
             return;
--- a/crates/poplartrail-core/src/engine/output.rs
+++ b/crates/poplartrail-core/src/engine/output.rs
@@ -72,12 +72,14 @@
     },
     /// Apply these limits to the connections of callers.
     CallerLimits(CallerLimits),
-    /// Ask another node for its configuration, which may be newer.
+    /// Ask another node for its configuration, if it is newer than this node's.
     AskConfig {
         /// Address of the other node.
         addr: SocketAddr,
         /// VM of the other node.
         vm: VmName,
+        /// Version that this node has in force; 0 if it has none.
+        known_version: u64,
     },
     /// Ask another node for the members that it knows.
     AskMembers {
--- a/crates/poplartrail-core/src/engine/returns.rs
+++ b/crates/poplartrail-core/src/engine/returns.rs
@@ -369,7 +369,12 @@
         if cx.cluster.should_ask_config(cx.now, config_version)
             && let Some(instance) = self.router.get(instance)
         {
-            cx.out.push(Output::AskConfig { addr: instance.addr, vm: instance.vm.clone() });
+            let known_version = cx.cluster.config_version();
+            cx.out.push(Output::AskConfig {
+                addr: instance.addr,
+                vm: instance.vm.clone(),
+                known_version,
+            });
         }
     }
 }
--- a/crates/poplartrail-node/src/adapters/peers/receive.rs
+++ b/crates/poplartrail-node/src/adapters/peers/receive.rs
@@ -77,11 +77,11 @@
                 self.decide.send(DecideMessage::Input(Input::PeerDraining(vm))).await;
                 Some(Vec::new())
             }
-            PeerRequest::AskConfig(_) => {
+            PeerRequest::AskConfig { from: vm, known_version } => {
                 let (reply_to, rx) = ring(1);
-                self.decide.send(DecideMessage::GetConfig(reply_to)).await;
-                let snapshot = rx.recv().await??;
-                Some(reply::encode_config(&snapshot))
+                self.decide.send(DecideMessage::GetConfig { vm, known_version, reply_to }).await;
+                let snapshot = rx.recv().await?;
+                Some(snapshot.map_or_else(reply::encode_unchanged, |s| reply::encode_config(&s)))
             }
             PeerRequest::AskMembers(_, peer_record) => {
                 let (reply_to, rx) = ring(1);
--- a/crates/poplartrail-node/src/adapters/peers/run.rs
+++ b/crates/poplartrail-node/src/adapters/peers/run.rs
@@ -176,8 +176,9 @@
             // The next call opens the new connection.
             PeersMessage::Disconnect { addr } => self.dialer.disconnect(addr),
             PeersMessage::Connect { vm, addr } => self.try_connect(vm, addr),
-            PeersMessage::AskConfig { vm, addr } => {
-                self.ask(vm, addr, call::encode_ask_config(&self.options.vm));
+            PeersMessage::AskConfig { vm, addr, known_version } => {
+                let bytes = call::encode_ask_config(&self.options.vm, known_version);
+                self.ask(vm, addr, bytes);
             }
             PeersMessage::AskMembers { vm, addr, local_record } => {
                 self.ask_members(vm, addr, &local_record);
--- a/crates/poplartrail-node/src/adapters/peers/send.rs
+++ b/crates/poplartrail-node/src/adapters/peers/send.rs
@@ -58,6 +58,7 @@
     };
     let input = match timeout(ASK_TIMEOUT, exchange).await {
         Ok(Ok(PeerReply::Config(snapshot))) => Input::PeerConfig(snapshot),
+        Ok(Ok(PeerReply::Unchanged)) => Input::ConfigConfirmed(vm.clone()),
         Ok(Ok(PeerReply::Members(members))) => Input::PeerMembers(members),
         _ => return,
     };
--- a/crates/poplartrail-node/src/adapters/store/announce.rs
+++ b/crates/poplartrail-node/src/adapters/store/announce.rs
@@ -10,7 +10,10 @@
 use poplartrail_wire::member::encode_member_record;
 use tokio::{sync::watch, time::sleep};
 
-use crate::{adapters::store::backoff::Backoff, ports::Clock};
+use crate::{
+    adapters::store::{backoff::Backoff, store_health::StoreHealth},
+    ports::Clock,
+};
 
 /// Time limit for a response of the store, which takes milliseconds in normal operation.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -27,6 +30,7 @@
     store: SocketAddr,
     mut latest: watch::Receiver<Option<MemberRecord>>,
     clock: C,
+    mut health: StoreHealth,
 ) {
     let mut client = StoreClient::new(store);
     let mut epoch = 0;
@@ -40,6 +44,9 @@
                 Ok(_) => break,
                 Err(StoreError::Refused(StatusCode::CONFLICT)) => epoch += EPOCH_STEP_MS,
                 Err(err) => {
+                    if matches!(err, StoreError::Unanswered(_)) {
+                        health.record_unanswered();
+                    }
                     spdlog::warn!("cannot announce this node in the store: {err}");
                     sleep(backoff.record_failure()).await;
                 }
--- a/crates/poplartrail-node/src/adapters/store/follow.rs
+++ b/crates/poplartrail-node/src/adapters/store/follow.rs
@@ -6,7 +6,7 @@
 use metrics::counter;
 use poplartrail_core::{
     engine::Input,
-    member::{MemberRecord, read_pause},
+    member::{MemberRecord, poll_wait, read_pause},
     names::VmName,
 };
 use poplartrail_platform::store::{
@@ -17,15 +17,21 @@
 use tokio::time::sleep;
 
 use crate::{
-    adapters::store::backoff::Backoff,
+    adapters::store::{backoff::Backoff, store_health::StoreHealth},
     ports::{DecideMessage, RingSender},
 };
 
-/// Time for which the store holds a long poll while there are no new records. It need not be short
-/// to detect a dead connection, because keepalive probes do so sooner; its length only saves calls.
-const LONG_POLL_WAIT: Duration = Duration::from_secs(20);
-/// Time limit for a response, in addition to [`LONG_POLL_WAIT`] for a long poll.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Mean time between two long polls of the configuration by all nodes together. The first one that
+/// ends after a lost response brings the fleet up to date.
+const CONFIG_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Mean time between two long polls of the members by all nodes together. A node that is not up to
+/// date still has its calls rerouted by the nodes that it calls.
+const MEMBERS_POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Time limit for a page of the newest records.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time limit for the response to a read, in addition to the time for which the store holds it. A
+/// slow store takes a third of it.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// Shortest and longest delay after a failure, before jitter. A change has to take effect within
 /// two seconds after the store has recovered.
 const BACKOFF_RANGE: (Duration, Duration) =
@@ -47,15 +53,29 @@
             Topic::Members => MEMBERS_TOPIC,
         }
     }
+
+    fn poll_interval(self) -> Duration {
+        match self {
+            Topic::Operator => CONFIG_POLL_INTERVAL,
+            Topic::Members => MEMBERS_POLL_INTERVAL,
+        }
+    }
 }
 
 /// Reads a topic until the process exits and passes its records to the decide thread.
-pub(crate) async fn follow(topic: Topic, store: SocketAddr, decide: RingSender<DecideMessage>) {
+pub(crate) async fn follow(
+    topic: Topic,
+    store: SocketAddr,
+    health: StoreHealth,
+    decide: RingSender<DecideMessage>,
+) {
     let mut reader = TopicReader {
         topic,
         client: StoreClient::new(store),
         decide,
         next_offset: None,
+        is_suspect: false,
+        health,
         members: HashSet::new(),
         backoff: Backoff::new(BACKOFF_RANGE.0, BACKOFF_RANGE.1),
     };
@@ -78,6 +98,10 @@
     decide: RingSender<DecideMessage>,
     /// Offset of the next record. `None` until the newest record of each key has been read.
     next_offset: Option<u64>,
+    /// Whether the store has left a call unanswered since the last response. The next read is then
+    /// not held by the store, so that it shows soon whether the store responds.
+    is_suspect: bool,
+    health: StoreHealth,
     /// VMs whose records have been read.
     members: HashSet<VmName>,
     backoff: Backoff,
@@ -101,16 +125,30 @@
     }
 
     async fn read_newest(&mut self) -> Result<bool, StoreError> {
-        let newest = self.client.newest_records(self.topic.name(), RESPONSE_TIMEOUT).await?;
+        let newest = self.client.newest_records(self.topic.name(), PAGE_TIMEOUT).await?;
         self.next_offset = Some(newest.next_offset);
+        self.is_suspect = false;
         let has_records = !newest.records.is_empty();
         self.forward(newest.records).await;
         Ok(has_records)
     }
 
     async fn read_from(&mut self, offset: u64) -> Result<bool, StoreError> {
-        let call = read_call(self.topic.name(), offset, LONG_POLL_WAIT);
-        let body = match self.client.call(&call, LONG_POLL_WAIT + RESPONSE_TIMEOUT).await {
+        let wait = match self.is_suspect {
+            true => Duration::ZERO,
+            false => poll_wait(self.health.nodes(), self.topic.poll_interval(), rand::random()),
+        };
+        let call = read_call(self.topic.name(), offset, wait);
+        let result = tokio::select! {
+            result = self.client.call(&call, wait + READ_TIMEOUT) => result,
+            // The store may have lost the response to this call too. Dropping the call closes its
+            // connection.
+            () = self.health.await_suspicion(), if !self.is_suspect => {
+                self.is_suspect = true;
+                return Ok(false);
+            }
+        };
+        let body = match result {
             Err(StoreError::Refused(StatusCode::GONE)) => {
                 spdlog::info!(
                     "the store has dropped records of {}: reading the newest of each key",
@@ -121,6 +159,7 @@
             }
             result => result?,
         };
+        self.is_suspect = false;
         let page = decode_records(offset, body)?;
         self.next_offset = Some(page.next_offset);
         let has_records = !page.records.is_empty();
@@ -138,6 +177,7 @@
             Topic::Members => {
                 let members: Vec<_> = records.iter().filter_map(decode_member).collect();
                 self.members.extend(members.iter().map(|record| record.member.vm.clone()));
+                self.health.set_nodes(self.members.len());
                 Some(Input::PeerMembers(members))
             }
         };
@@ -158,6 +198,10 @@
     async fn back_off(&mut self, err: &StoreError) {
         counter!("poplartrail_store_read_failures_total", "topic" => self.topic.name())
             .increment(1);
+        if matches!(err, StoreError::Unanswered(_)) {
+            self.is_suspect = true;
+            self.health.record_unanswered();
+        }
         if self.backoff.failures() == 0 {
             spdlog::warn!("{} cannot be read: {err}", self.topic.name());
         }
--- a/crates/poplartrail-node/src/adapters/store/mod.rs
+++ b/crates/poplartrail-node/src/adapters/store/mod.rs
@@ -5,5 +5,6 @@
 mod backoff;
 mod follow;
 mod run;
+mod store_health;
 
 pub use run::{StoreOptions, run};
--- a/crates/poplartrail-node/src/adapters/store/run.rs
+++ b/crates/poplartrail-node/src/adapters/store/run.rs
@@ -10,6 +10,7 @@
         store::{
             announce::announce,
             follow::{Topic, follow},
+            store_health::StoreHealth,
         },
     },
     ports::{Clock, DecideMessage, PlatformMessage, RingReceiver, RingSender},
@@ -31,11 +32,12 @@
     decide: &RingSender<DecideMessage>,
 ) {
     block_on(async move {
+        let health = StoreHealth::new();
         for topic in [Topic::Operator, Topic::Members] {
-            tokio::spawn(follow(topic, options.addr, decide.clone()));
+            tokio::spawn(follow(topic, options.addr, health.clone(), decide.clone()));
         }
         let (latest_tx, latest) = watch::channel(None);
-        let announcer = tokio::spawn(announce(options.addr, latest, options.clock));
+        let announcer = tokio::spawn(announce(options.addr, latest, options.clock, health));
         while let Some(message) = inbox.recv().await {
             if let PlatformMessage::AppendMember(record) = message {
                 latest_tx.send_replace(Some(record));
--- a/crates/poplartrail-node/src/decide/output_rings.rs
+++ b/crates/poplartrail-node/src/decide/output_rings.rs
@@ -84,7 +84,9 @@
             Output::CallerLimits(limits) => {
                 count_if_full(self.ingress.try_send(IngressMessage::Limits(limits)), "ingress")
             }
-            Output::AskConfig { addr, vm } => peers(PeersMessage::AskConfig { vm, addr }),
+            Output::AskConfig { addr, vm, known_version } => {
+                peers(PeersMessage::AskConfig { vm, addr, known_version })
+            }
             Output::AskMembers { addr, vm, local_record } => {
                 peers(PeersMessage::AskMembers { vm, addr, local_record })
             }
--- a/crates/poplartrail-node/src/decide/run.rs
+++ b/crates/poplartrail-node/src/decide/run.rs
@@ -71,7 +71,10 @@
             node.handle_deregistration(now, wall, &deregistration, outputs);
             let _is_abandoned = reply_to.try_send(()).is_err();
         }
-        DecideMessage::GetConfig(reply_to) => drop(reply_to.try_send(node.config_snapshot())),
+        DecideMessage::GetConfig { vm, known_version, reply_to } => {
+            let snapshot = node.handle_config_request(now, &vm, known_version, outputs);
+            drop(reply_to.try_send(snapshot));
+        }
         DecideMessage::ExchangeMembers { peer_record, reply_to } => {
             drop(reply_to.try_send(node.cluster().members()));
             node.handle(now, wall, Input::PeerMembers(vec![peer_record]), outputs);
--- a/crates/poplartrail-node/src/ports/message.rs
+++ b/crates/poplartrail-node/src/ports/message.rs
@@ -45,8 +45,15 @@
         /// Receives the acknowledgement once the gate has applied the deregistration.
         reply_to: RingSender<()>,
     },
-    /// Asks for the configuration on behalf of another node; `None` if none has been read yet.
-    GetConfig(RingSender<Option<Snapshot>>),
+    /// Asks for the configuration on behalf of another node.
+    GetConfig {
+        /// VM of the other node.
+        vm: VmName,
+        /// Version that the other node has in force; 0 if it has none.
+        known_version: u64,
+        /// Receives the configuration; `None` if it is not newer.
+        reply_to: RingSender<Option<Snapshot>>,
+    },
     /// Asks for the known members on behalf of another node, and reports its own record.
     ExchangeMembers {
         /// Member record of the other node.
@@ -103,12 +110,14 @@
         /// Address at which the node serves peers.
         addr: SocketAddr,
     },
-    /// Asks a node for its configuration.
+    /// Asks a node for its configuration, if it is newer.
     AskConfig {
         /// VM of the node.
         vm: VmName,
         /// Address at which the node serves peers.
         addr: SocketAddr,
+        /// Version that this node has in force; 0 if it has none.
+        known_version: u64,
     },
     /// Asks a node for the members that it knows.
     AskMembers {
--- a/crates/poplartrail-wire/src/convert/call.rs
+++ b/crates/poplartrail-wire/src/convert/call.rs
@@ -32,8 +32,13 @@
     Call(VmName, Box<wire::CallRequest>),
     /// Notice that the sender is draining.
     Leaving(VmName),
-    /// Request for the configuration.
-    AskConfig(VmName),
+    /// Request for the configuration, if it is newer than the sender's.
+    AskConfig {
+        /// VM of the sender.
+        from: VmName,
+        /// Version that the sender has in force; 0 if it has none.
+        known_version: u64,
+    },
     /// Request for the known members, with the member record of the sender.
     AskMembers(VmName, Box<MemberRecord>),
 }
@@ -44,7 +49,7 @@
         match self {
             PeerRequest::Call(vm, _)
             | PeerRequest::Leaving(vm)
-            | PeerRequest::AskConfig(vm)
+            | PeerRequest::AskConfig { from: vm, .. }
             | PeerRequest::AskMembers(vm, _) => vm,
         }
     }
@@ -57,7 +62,9 @@
     Ok(match message.body.ok_or(WireError::MissingField("PeerRequest.body"))? {
         Body::Call(call) => PeerRequest::Call(VmName::new(&call.from)?, Box::new(call)),
         Body::Leaving(leaving) => PeerRequest::Leaving(VmName::new(leaving.vm)?),
-        Body::AskConfig(ask) => PeerRequest::AskConfig(VmName::new(ask.from)?),
+        Body::AskConfig(ask) => {
+            PeerRequest::AskConfig { from: VmName::new(ask.from)?, known_version: ask.known }
+        }
         Body::AskMembers(ask) => {
             let record = ask.own.ok_or(WireError::MissingField("AskMembers.own"))?;
             PeerRequest::AskMembers(
@@ -77,9 +84,12 @@
     encode_request(wire::peer_request::Body::Leaving(wire::Leaving { vm: vm.to_string() }))
 }
 
-/// Encodes a request for the configuration.
-pub fn encode_ask_config(from: &VmName) -> Vec<u8> {
-    encode_request(wire::peer_request::Body::AskConfig(wire::AskConfig { from: from.to_string() }))
+/// Encodes a request for a configuration that is newer than `known_version`.
+pub fn encode_ask_config(from: &VmName, known_version: u64) -> Vec<u8> {
+    encode_request(wire::peer_request::Body::AskConfig(wire::AskConfig {
+        from: from.to_string(),
+        known: known_version,
+    }))
 }
 
 /// Encodes a request for the known members; `local_record` is the member record of the sender.
--- a/crates/poplartrail-wire/src/convert/reply.rs
+++ b/crates/poplartrail-wire/src/convert/reply.rs
@@ -30,6 +30,8 @@
     Call(PeerOutcome, GateReport),
     /// Configuration that the other node has in force.
     Config(Snapshot),
+    /// The other node has no newer configuration.
+    Unchanged,
     /// Members that the other node knows.
     Members(Vec<MemberRecord>),
 }
@@ -47,6 +49,7 @@
             PeerReply::Call(outcome, report)
         }
         Body::Config(snapshot) => PeerReply::Config(snapshot_from_wire(snapshot)?),
+        Body::Unchanged(wire::Unchanged {}) => PeerReply::Unchanged,
         Body::Members(members) => {
             let records = members.records.into_iter().map(member_record_from_wire);
             PeerReply::Members(records.collect::<Result<_, _>>()?)
@@ -71,6 +74,11 @@
     encode_reply(wire::peer_reply::Body::Config(snapshot_to_wire(snapshot)))
 }
 
+/// Encodes the reply to a request for the configuration if there is no newer one.
+pub fn encode_unchanged() -> Vec<u8> {
+    encode_reply(wire::peer_reply::Body::Unchanged(wire::Unchanged {}))
+}
+
 /// Encodes the reply to a request for the known members.
 pub fn encode_members(records: &[MemberRecord]) -> Vec<u8> {
     let records = records.iter().map(member_record_to_wire).collect();
