Keep the end of an upstream across a restart of its node

A node acknowledges the deregistration of its instance, is killed 0.3 s later and started again; a heartbeat from before arrives late.

Cause: which upstream has left was held in memory alone. The node's record in the store says 'draining', but named no instance, and the node skipped the record of its own VM. Besides, no record was written if the deregistration was the first message to a process, or the first heartbeat reported 'draining' already, and the acknowledgement did not wait for the record, so that a kill right after it lost both.

Ruled out: other nodes (they mark the instance as draining until it is announced again); the order of heartbeats within a process (the same heartbeat gets 409 without the kill). Not taken: asking the instance's health page. The pages leave open what it says after a deregistration, and on some sites it is false either way.

Change: - MemberRecord::upstream: instance and start that the state is about. - A node handles no message of its upstream before it has read the records of the store. Messages are held meanwhile, four at most. Its own record 'draining' restores the state, also when the append of an earlier process takes effect late. - The acknowledgement of a drain or a deregistration waits until the store holds the record, 0.6 s at most; then it is given without, counted and logged. - Whenever the upstream has left, a record says so. - The next incarnation exceeds that of the node's own record. A clock that was set back made other nodes ignore the announcement.

No further calls to the store but a record for an exit that was not announced."

--- a/crates/poplartrail-bench/src/bin/fold.rs
+++ b/crates/poplartrail-bench/src/bin/fold.rs
@@ -128,5 +128,6 @@
             slot: KeySlot(number as u16),
             lease_change: LeaseChange::Claim,
         }],
+        upstream: None,
     }
 }
--- /dev/null
+++ b/crates/poplartrail-core/src/engine/announcement.rs
@@ -0,0 +1,58 @@
+//! What the store holds of the state that a hosted node has announced.
+
+use crate::{
+    member::{MemberRecord, MemberState},
+    upstream::UpstreamIncarnation,
+};
+
+/// The latest member record of a hosted node, and whether the store holds it.
+///
+/// The node repeats an append until the store accepts it, so that a record that is not stored yet
+/// will be.
+#[derive(Debug, Default)]
+pub(crate) struct Announcement {
+    /// Whether the record of an earlier process of the node has been read, or there is none.
+    is_restored: bool,
+    latest: Option<MemberRecord>,
+    is_stored: bool,
+}
+
+impl Announcement {
+    /// Whether the record of an earlier process has been read, so that it is known which upstream
+    /// that process has acknowledged as draining.
+    pub(crate) fn is_restored(&self) -> bool {
+        self.is_restored
+    }
+
+    /// Whether the store holds the latest record, or there is none to append.
+    pub(crate) fn is_stored(&self) -> bool {
+        self.is_restored && (self.latest.is_none() || self.is_stored)
+    }
+
+    /// Whether the latest record states that `upstream` takes no new work.
+    pub(crate) fn has_left(&self, upstream: &UpstreamIncarnation) -> bool {
+        self.latest.as_ref().is_some_and(|record| {
+            record.state == MemberState::Draining && record.upstream.as_ref() == Some(upstream)
+        })
+    }
+
+    /// Records that the store's records have been read; `stored` is that of this node.
+    pub(crate) fn record_read(&mut self, stored: Option<&MemberRecord>) {
+        self.is_restored = true;
+        if let (None, Some(stored)) = (&self.latest, stored) {
+            self.latest = Some(stored.clone());
+            self.is_stored = true;
+        }
+    }
+
+    /// Records that the node appends `record`.
+    pub(crate) fn record_appended(&mut self, record: &MemberRecord) {
+        self.latest = Some(record.clone());
+        self.is_stored = false;
+    }
+
+    /// Records that the store has accepted `record`.
+    pub(crate) fn record_stored(&mut self, record: &MemberRecord) {
+        self.is_stored |= self.latest.as_ref() == Some(record);
+    }
+}
--- a/crates/poplartrail-core/src/engine/appends.rs
+++ b/crates/poplartrail-core/src/engine/appends.rs
@@ -76,7 +76,14 @@
     ) -> MemberRecord {
         let terms =
             LeaseTerms { duration: policy.bounds.lease, max_skew: policy.bounds.clock_skew };
-        MemberRecord { member: self.local_member.clone(), state, terms, sent_at: now, slot_changes }
+        MemberRecord {
+            member: self.local_member.clone(),
+            state,
+            terms,
+            sent_at: now,
+            slot_changes,
+            upstream: None,
+        }
     }
 
     /// Claims free key slots up to this node's equal part of them, or releases one beyond it.
--- a/crates/poplartrail-core/src/engine/cluster_state.rs
+++ b/crates/poplartrail-core/src/engine/cluster_state.rs
@@ -292,8 +292,14 @@
                     })
                     .collect();
                 let (state, sent_at) = (entry.state, Time::ZERO);
-                let record =
-                    MemberRecord { member: member.clone(), state, terms, sent_at, slot_changes };
+                let record = MemberRecord {
+                    member: member.clone(),
+                    state,
+                    terms,
+                    sent_at,
+                    slot_changes,
+                    upstream: None,
+                };
                 found.insert(member.vm, record);
             }
         }
--- a/crates/poplartrail-core/src/engine/event.rs
+++ b/crates/poplartrail-core/src/engine/event.rs
@@ -82,6 +82,11 @@
         /// Label of the new state.
         state: &'static str,
     },
+    /// An earlier process of the node has announced that the local upstream takes no new work.
+    UpstreamRestored {
+        /// Name of the instance.
+        instance: InstanceName,
+    },
     /// The operators' configuration of the site is invalid and not applied.
     SiteDocumentRefused {
         /// Description of the error.
@@ -173,7 +178,7 @@
             EventKind::Refused { .. } | EventKind::RefusedOnArrival { .. } => "refused",
             EventKind::Retried { .. } => "retried",
             EventKind::Rerouted { .. } => "moved",
-            EventKind::UpstreamChanged { .. } => "upstream",
+            EventKind::UpstreamChanged { .. } | EventKind::UpstreamRestored { .. } => "upstream",
             EventKind::SiteDocumentRefused { .. } => "site-refused",
             EventKind::OutcomeUnknown { .. } => "in-doubt",
             EventKind::Late { .. } => "late",
@@ -214,6 +219,9 @@
             EventKind::UpstreamChanged { instance: None, state } => {
                 write!(f, "upstream is {state}")
             }
+            EventKind::UpstreamRestored { instance } => {
+                write!(f, "upstream {instance} is leaving, as an earlier process has announced")
+            }
             EventKind::SiteDocumentRefused { reason } => {
                 write!(f, "configuration cannot be used: {reason}")
             }
--- a/crates/poplartrail-core/src/engine/input.rs
+++ b/crates/poplartrail-core/src/engine/input.rs
@@ -252,6 +252,11 @@
     PeerDraining(VmName),
     /// Another node sent the members that it knows.
     PeerMembers(Vec<MemberRecord>),
+    /// Records of members were read from the store: first the newest of all members, then further
+    /// ones.
+    StoredMembers(Vec<MemberRecord>),
+    /// The store has accepted a member record of this node.
+    MemberStored(Box<MemberRecord>),
     /// Data sent on the open connection to this VM is not acknowledged.
     PeerSilent(VmName),
     /// The time that `Node::next_wake` returned has come.
--- a/crates/poplartrail-core/src/engine/mod.rs
+++ b/crates/poplartrail-core/src/engine/mod.rs
@@ -5,6 +5,7 @@
 //! Adapters carry out the outputs and feed their results back as inputs.
 
 mod active_call;
+mod announcement;
 mod appends;
 mod arrivals;
 mod call_options;
@@ -25,6 +26,7 @@
 mod peer_call;
 mod phase;
 mod refusals;
+mod restore;
 mod returns;
 mod routing;
 mod sending;
--- a/crates/poplartrail-core/src/engine/node.rs
+++ b/crates/poplartrail-core/src/engine/node.rs
@@ -1,12 +1,13 @@
 //! The state machine of a node: dispatches inputs to the calls, the cluster state and the phase.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
 use crate::{
     engine::{
         Calls, ClusterState, ConfigSource, Event, EventKind, Input, InstanceStatus, LogBatch,
         NodeOptions, NodePhase, NodeStatus, Output, Phase, PolicySource, RankStatus,
-        calls::DecisionContext, config_check::ConfigCheck, routing::HostedState,
+        calls::DecisionContext, config_check::ConfigCheck, restore::is_plausible,
+        routing::HostedState,
     },
     keys::{Home, IdempotencyKey},
     member::{Member, MemberRecord},
@@ -16,8 +17,6 @@
     time::{Time, WallTime},
 };
 
-/// Largest difference assumed between the clocks of two VMs.
-const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(3600);
 /// Random keys that [`Node::mint_key`] tries until it finds one with its home on this node.
 const MAX_MINT_ATTEMPTS: usize = 4096;
 
@@ -101,6 +100,8 @@
                 }
             }
             Input::PeerMembers(members) => self.handle_peer_members(now, wall, members, out),
+            Input::StoredMembers(members) => self.handle_stored_members(now, wall, members, out),
+            Input::MemberStored(record) => self.handle_member_stored(&record),
             Input::Wake => self.wake(now, wall, out),
             Input::Drain => self.drain(now, wall, out),
             Input::Close => self.close(now, wall, out),
@@ -341,24 +342,23 @@
         }
     }
 
-    /// Applies the records of other members. Ignores those whose incarnation, the time of day at the
-    /// start of their process, lies in the future: no later record of the VM could replace them.
-    fn handle_peer_members(
+    /// Applies the records of other members. Ignores those whose times lie in the future: no later
+    /// record of the VM could replace them.
+    pub(super) fn handle_peer_members(
         &mut self,
         now: Time,
         wall: WallTime,
         mut members: Vec<MemberRecord>,
         out: &mut Vec<Output>,
     ) {
-        let max_incarnation = (wall + MAX_CLOCK_DIFFERENCE).as_millis();
         members.retain(|record| {
-            let Member { vm, incarnation, .. } = &record.member;
-            let is_past = *incarnation <= max_incarnation;
-            if !is_past {
+            let is_plausible = is_plausible(wall, record);
+            if !is_plausible {
+                let Member { vm, incarnation, .. } = &record.member;
                 let kind = EventKind::MemberIgnored { vm: vm.clone(), incarnation: *incarnation };
                 out.push(Output::RecordEvent(Event { request_id: None, rank: None, kind }));
             }
-            is_past
+            is_plausible
         });
         self.cluster.record_peer_members(&members);
         for record in &members {
--- a/crates/poplartrail-core/src/engine/routing.rs
+++ b/crates/poplartrail-core/src/engine/routing.rs
@@ -9,6 +9,7 @@
     call::{Idempotency, Refusal},
     engine::{
         Arrival, ConfigSource, Event, EventKind, Node, NodePhase, Origin, Output, UnroutedRequest,
+        announcement::Announcement,
     },
     member::MemberState,
     names::RouteName,
@@ -23,7 +24,8 @@
 pub(crate) struct HostedState {
     /// Address of the local upstream; a heartbeat that states another one is refused.
     upstream_addr: SocketAddr,
-    upstream: UpstreamState,
+    pub(super) upstream: UpstreamState,
+    pub(super) announcement: Announcement,
     site: Option<Arc<SiteConfig>>,
     /// Ranks of the site's routes, computed once for each version of the configuration.
     ranks: RankTable,
@@ -36,6 +38,7 @@
         Self {
             upstream_addr,
             upstream: UpstreamState::default(),
+            announcement: Announcement::default(),
             site: None,
             ranks: RankTable::default(),
             splits: TrafficSplits::default(),
@@ -230,7 +233,7 @@
         self.handle_upstream_change(now, wall, change, out);
     }
 
-    fn handle_upstream_change(
+    pub(super) fn handle_upstream_change(
         &mut self,
         now: Time,
         wall: WallTime,
@@ -241,7 +244,7 @@
         let instance = hosted.upstream.ready().map(|ready| ready.instance().clone());
         let state = hosted.upstream.label();
         match change {
-            UpstreamChange::Unchanged => return,
+            UpstreamChange::Unchanged => return self.announce_left(out),
             UpstreamChange::StartedServing => self.open_upstream(now, wall, out),
             UpstreamChange::StoppedServing => {
                 self.calls.set_upstream_state(Err(Refusal::Draining));
@@ -290,6 +293,10 @@
         }
         let mut record = self.calls.local_record();
         record.state = state;
+        if let Some(hosted) = &mut self.hosted {
+            record.upstream = hosted.upstream.incarnation().cloned();
+            hosted.announcement.record_appended(&record);
+        }
         out.push(Output::AppendMember(record));
     }
 
--- a/crates/poplartrail-core/src/engine/sending.rs
+++ b/crates/poplartrail-core/src/engine/sending.rs
@@ -130,6 +130,7 @@
             terms: LeaseTerms { duration: bounds.lease, max_skew: bounds.clock_skew },
             sent_at: Time::ZERO,
             slot_changes: Vec::new(),
+            upstream: None,
         }
     }
 
--- a/crates/poplartrail-core/src/member/record.rs
+++ b/crates/poplartrail-core/src/member/record.rs
@@ -4,6 +4,7 @@
     keys::{KeySlot, LeaseChange, LeaseTerms},
     member::Member,
     time::Time,
+    upstream::UpstreamIncarnation,
 };
 
 /// State that a node announces of itself.
@@ -38,4 +39,7 @@
     pub sent_at: Time,
     /// Lease changes, in the order in which they apply.
     pub slot_changes: Vec<SlotChange>,
+    /// Upstream that the state is about. A later process of the sender reads it, to know of an
+    /// upstream that drains. `None` if the sender is not hosted or knows no upstream.
+    pub upstream: Option<UpstreamIncarnation>,
 }
--- a/crates/poplartrail-core/src/upstream/mod.rs
+++ b/crates/poplartrail-core/src/upstream/mod.rs
@@ -2,8 +2,10 @@
 
 mod error;
 mod heartbeat;
+mod incarnation;
 mod state;
 
 pub use error::HeartbeatError;
 pub use heartbeat::{Deregistration, Heartbeat, ReportedState};
+pub use incarnation::UpstreamIncarnation;
 pub use state::{Draining, Ready, Registration, UpstreamChange, UpstreamState};
--- a/crates/poplartrail-core/src/upstream/state.rs
+++ b/crates/poplartrail-core/src/upstream/state.rs
@@ -5,6 +5,8 @@
 //! Absent              --heartbeat: draining--> Registration<Draining>
 //! Registration<Ready> --heartbeat: draining--> Registration<Draining>
 //! any state           --deregistration-------> Absent
+//! Absent, or any      --restored: draining---> Registration<Draining>
+//! earlier incarnation
 //! ```
 //!
 //! An incarnation of the upstream is one process, from its start to its exit. Its instance name and
@@ -16,7 +18,7 @@
 use crate::{
     names::{InstanceName, ServiceName},
     time::WallTime,
-    upstream::{Deregistration, Heartbeat, HeartbeatError, ReportedState},
+    upstream::{Deregistration, Heartbeat, HeartbeatError, ReportedState, UpstreamIncarnation},
 };
 
 /// The upstream accepts work.
@@ -31,8 +33,7 @@
 /// The registered incarnation of the upstream, in the state `S`.
 #[derive(Debug, Clone)]
 pub struct Registration<S> {
-    instance: InstanceName,
-    started_at: WallTime,
+    incarnation: UpstreamIncarnation,
     sequence: u64,
     slots: usize,
     _state: S,
@@ -41,12 +42,12 @@
 impl<S> Registration<S> {
     /// Returns the name of the instance.
     pub fn instance(&self) -> &InstanceName {
-        &self.instance
+        &self.incarnation.instance
     }
 
     /// Returns the time at which the instance started, by its own clock.
     pub fn started_at(&self) -> WallTime {
-        self.started_at
+        self.incarnation.started_at
     }
 
     /// Returns the maximum number of requests that the instance runs at the same time.
@@ -56,15 +57,24 @@
 
     /// Returns whether `heartbeat` is from the registered incarnation.
     fn is_same_incarnation(&self, heartbeat: &Heartbeat) -> bool {
-        self.instance == heartbeat.instance && self.started_at == heartbeat.started_at
+        self.incarnation.instance == heartbeat.instance
+            && self.incarnation.started_at == heartbeat.started_at
     }
 }
 
 impl Registration<Ready> {
     /// Marks the upstream as draining.
     pub fn drain(self) -> Registration<Draining> {
-        let Self { instance, started_at, sequence, slots, _state } = self;
-        Registration { instance, started_at, sequence, slots, _state: Draining(()) }
+        let Self { incarnation, sequence, slots, _state } = self;
+        Registration { incarnation, sequence, slots, _state: Draining(()) }
+    }
+}
+
+impl Registration<Draining> {
+    /// Restores the registration of an incarnation that an earlier process of the node has
+    /// acknowledged as draining.
+    pub fn restore(incarnation: UpstreamIncarnation) -> Self {
+        Self { incarnation, sequence: 0, slots: 0, _state: Draining(()) }
     }
 }
 
@@ -84,10 +94,9 @@
 pub enum UpstreamState {
     /// No upstream is registered.
     Absent {
-        /// Instance name and start time of the incarnation that was deregistered last, or the time
-        /// of its deregistration if its start time is unknown. Heartbeats of it and of earlier
-        /// incarnations are refused.
-        last_deregistered: Option<(InstanceName, WallTime)>,
+        /// Incarnation that was deregistered last. Heartbeats of it and of earlier ones are
+        /// refused.
+        last_deregistered: Option<UpstreamIncarnation>,
     },
     /// The upstream accepts work.
     Ready(Registration<Ready>),
@@ -110,6 +119,34 @@
         }
     }
 
+    /// Returns the latest known incarnation, whatever its state.
+    pub fn incarnation(&self) -> Option<&UpstreamIncarnation> {
+        match self {
+            UpstreamState::Absent { last_deregistered } => last_deregistered.as_ref(),
+            UpstreamState::Ready(known) => Some(&known.incarnation),
+            UpstreamState::Draining(known) => Some(&known.incarnation),
+        }
+    }
+
+    /// Returns the latest known incarnation if it takes no new work any more.
+    pub fn left(&self) -> Option<&UpstreamIncarnation> {
+        self.incarnation().filter(|_| self.ready().is_none())
+    }
+
+    /// Applies that an earlier process of the node has acknowledged `incarnation` as draining or
+    /// deregistered. An incarnation that drains never accepts work again.
+    pub fn restore_drained(&mut self, incarnation: UpstreamIncarnation) -> UpstreamChange {
+        let is_outdated = self.incarnation().is_some_and(|known| {
+            *known != incarnation && known.started_at >= incarnation.started_at
+        });
+        if is_outdated || self.left() == Some(&incarnation) {
+            return UpstreamChange::Unchanged;
+        }
+        let was_ready = self.ready().is_some();
+        *self = UpstreamState::Draining(Registration::restore(incarnation));
+        if was_ready { UpstreamChange::StoppedServing } else { UpstreamChange::Unchanged }
+    }
+
     /// Returns the name of the state on status pages and in events.
     pub fn label(&self) -> &'static str {
         match self {
@@ -149,28 +186,21 @@
         deregistration: &Deregistration,
         now: WallTime,
     ) -> UpstreamChange {
-        let known = match self {
-            UpstreamState::Ready(known) => Some((&known.instance, known.started_at)),
-            UpstreamState::Draining(known) => Some((&known.instance, known.started_at)),
-            UpstreamState::Absent { last_deregistered } => {
-                last_deregistered.as_ref().map(|(name, started_at)| (name, *started_at))
-            }
-        };
-        let (instance, started_at) = match (known, deregistration.started_at) {
-            (Some((_, started_at)), Some(stated)) if stated < started_at => {
+        let started_at = match (self.incarnation(), deregistration.started_at) {
+            (Some(known), Some(stated)) if stated < known.started_at => {
                 return UpstreamChange::Unchanged;
             }
-            (_, Some(stated)) => (deregistration.instance.clone(), stated),
+            (_, Some(stated)) => stated,
             // A deregistration without a start time applies to the known incarnation of the same
             // name.
-            (Some((name, started_at)), None) if *name == deregistration.instance => {
-                (name.clone(), started_at)
-            }
+            (Some(known), None) if known.instance == deregistration.instance => known.started_at,
             (Some(_), None) => return UpstreamChange::Unchanged,
-            (None, None) => (deregistration.instance.clone(), now),
+            (None, None) => now,
         };
         let was_ready = self.ready().is_some();
-        *self = UpstreamState::Absent { last_deregistered: Some((instance, started_at)) };
+        let instance = deregistration.instance.clone();
+        let last_deregistered = Some(UpstreamIncarnation { instance, started_at });
+        *self = UpstreamState::Absent { last_deregistered };
         if was_ready { UpstreamChange::StoppedServing } else { UpstreamChange::Unchanged }
     }
 
@@ -179,12 +209,13 @@
     fn is_outdated(&self, heartbeat: &Heartbeat) -> bool {
         match self {
             UpstreamState::Absent { last_deregistered: None } => false,
-            UpstreamState::Absent { last_deregistered: Some((instance, started_at)) } => {
-                heartbeat.started_at < *started_at
-                    || (heartbeat.started_at == *started_at && heartbeat.instance == *instance)
+            UpstreamState::Absent { last_deregistered: Some(last) } => {
+                heartbeat.started_at < last.started_at
+                    || (heartbeat.started_at == last.started_at
+                        && heartbeat.instance == last.instance)
             }
-            UpstreamState::Ready(known) => heartbeat.started_at < known.started_at,
-            UpstreamState::Draining(known) => heartbeat.started_at < known.started_at,
+            UpstreamState::Ready(known) => heartbeat.started_at < known.started_at(),
+            UpstreamState::Draining(known) => heartbeat.started_at < known.started_at(),
         }
     }
 
@@ -213,8 +244,10 @@
     fn register(&mut self, heartbeat: &Heartbeat) -> UpstreamChange {
         let was_ready = self.ready().is_some();
         let registration = Registration {
-            instance: heartbeat.instance.clone(),
-            started_at: heartbeat.started_at,
+            incarnation: UpstreamIncarnation {
+                instance: heartbeat.instance.clone(),
+                started_at: heartbeat.started_at,
+            },
             sequence: heartbeat.sequence,
             slots: heartbeat.slots,
             _state: Ready(()),
--- a/crates/poplartrail-core/tests/given_up_slot.rs
+++ b/crates/poplartrail-core/tests/given_up_slot.rs
@@ -46,7 +46,7 @@
     };
     let terms = LeaseTerms { duration: Duration::from_secs(60), max_skew: Duration::from_secs(2) };
     let (state, sent_at) = (MemberState::Serving, Time::ZERO);
-    MemberRecord { member, state, terms, sent_at, slot_changes: Vec::new() }
+    MemberRecord { member, state, terms, sent_at, slot_changes: Vec::new(), upstream: None }
 }
 
 fn local_member() -> Member {
--- a/crates/poplartrail-core/tests/hosted/mod.rs
+++ b/crates/poplartrail-core/tests/hosted/mod.rs
@@ -21,7 +21,7 @@
         CallerLimits, HostRoutes, RouteRule, RouteTable, SiteConfig, SiteVersion, WeightedService,
     },
     time::{Time, WallTime},
-    upstream::{Heartbeat, ReportedState},
+    upstream::{Deregistration, Heartbeat, ReportedState},
 };
 
 /// VM of the instance in the node's availability zone.
@@ -34,7 +34,8 @@
 pub(crate) const BOOK: &str = "/book/x";
 
 const NOW: Time = Time::from_millis(10);
-const WALL: WallTime = WallTime::from_millis(1_800_000_000_000);
+/// Time of day of the runs.
+pub(crate) const WALL: WallTime = WallTime::from_millis(1_800_000_000_000);
 
 struct TestPolicySource;
 
@@ -130,6 +131,7 @@
             terms,
             sent_at: Time::ZERO,
             slot_changes: Vec::new(),
+            upstream: None,
         });
         run.handle(Input::PeerMembers(members.to_vec()));
         run
@@ -149,9 +151,15 @@
 
     /// Registers the local upstream by a heartbeat with `slots` slots.
     pub(crate) fn register_upstream(&mut self, slots: usize) {
+        self.send_heartbeat(WALL, slots);
+    }
+
+    /// Passes a heartbeat in state `Ready` of the upstream that started at `started_at`, and
+    /// returns the outputs.
+    pub(crate) fn send_heartbeat(&mut self, started_at: WallTime, slots: usize) -> Vec<Output> {
         let heartbeat = Heartbeat {
             instance: InstanceName::new("i-1").unwrap(),
-            started_at: WALL,
+            started_at,
             sequence: 1,
             service: service("front"),
             addr: "127.0.0.1:8000".parse().unwrap(),
@@ -159,7 +167,29 @@
             state: ReportedState::Ready,
             warmup_remaining: Duration::ZERO,
         };
-        self.node.handle_heartbeat(NOW, WALL, &heartbeat, &mut Vec::new()).unwrap();
+        let mut out = Vec::new();
+        self.node.handle_heartbeat(NOW, WALL, &heartbeat, &mut out).unwrap();
+        out
+    }
+
+    /// Passes the deregistration of the upstream that started at `started_at`, and returns the
+    /// outputs.
+    pub(crate) fn deregister(&mut self, started_at: WallTime) -> Vec<Output> {
+        let instance = InstanceName::new("i-1").unwrap();
+        let deregistration = Deregistration { instance, started_at: Some(started_at) };
+        let mut out = Vec::new();
+        self.node.handle_deregistration(NOW, WALL, &deregistration, &mut out);
+        out
+    }
+
+    /// Passes a record of the node's own VM, as the store holds it.
+    pub(crate) fn read_local_record(&mut self, record: MemberRecord) -> Vec<Output> {
+        self.handle(Input::StoredMembers(vec![record]))
+    }
+
+    /// The node.
+    pub(crate) fn node(&self) -> &Node {
+        &self.node
     }
 
     /// Passes a call of another node for the local upstream.
@@ -247,6 +277,14 @@
     })
 }
 
+/// Returns the member record that the node appends, if there is one.
+pub(crate) fn record_in(out: &[Output]) -> Option<MemberRecord> {
+    out.iter().find_map(|output| match output {
+        Output::AppendMember(record) => Some(record.clone()),
+        _ => None,
+    })
+}
+
 /// Returns the outcome in the reply, if there is one.
 pub(crate) fn outcome_in(out: &[Output]) -> Option<Outcome> {
     out.iter().find_map(|output| match output {
--- a/crates/poplartrail-node/src/adapters/front/control.rs
+++ b/crates/poplartrail-node/src/adapters/front/control.rs
@@ -1,16 +1,24 @@
 //! Handlers of readiness checks and of the local upstream's heartbeats.
 
+use std::time::Duration;
+
 use http::StatusCode;
-use poplartrail_core::upstream::{Deregistration, Heartbeat};
+use metrics::counter;
+use poplartrail_core::upstream::{Deregistration, Heartbeat, ReportedState};
 use poplartrail_platform::{
     ControlCall, decode_control_call, encode_control_error, is_readiness_call,
 };
 
+use tokio::time::timeout;
+
 use crate::{
     adapters::server::{Handler, HttpRequest, HttpResponse},
     ports::{DecideMessage, RingSender, ring},
 };
 
+/// Longest wait for the store before an acknowledgement, which the upstream must get within a second.
+const MAX_STORE_WAIT: Duration = Duration::from_millis(600);
+
 /// Responds whether the node accepts work.
 #[derive(Clone)]
 pub(crate) struct ReadinessHandler {
@@ -56,9 +64,14 @@
 impl ControlHandler {
     /// Responds once the gate has applied the heartbeat.
     async fn handle_heartbeat(&self, heartbeat: Heartbeat) -> HttpResponse {
+        let is_draining = heartbeat.state == ReportedState::Draining;
         let (reply_to, rx) = ring(1);
         self.decide.send(DecideMessage::Heartbeat { heartbeat, reply_to }).await;
-        match rx.recv().await {
+        let result = rx.recv().await;
+        if is_draining && matches!(result, Some(Ok(()))) {
+            self.await_stored().await;
+        }
+        match result {
             Some(Ok(())) => HttpResponse::text(StatusCode::OK, "application/json", "{}".to_owned()),
             Some(Err(err)) => {
                 spdlog::warn!("heartbeat refused: {err}");
@@ -72,10 +85,26 @@
         let (reply_to, rx) = ring(1);
         self.decide.send(DecideMessage::Deregister { deregistration, reply_to }).await;
         match rx.recv().await {
-            Some(()) => HttpResponse::text(StatusCode::OK, "application/json", "{}".to_owned()),
+            Some(()) => {
+                self.await_stored().await;
+                HttpResponse::text(StatusCode::OK, "application/json", "{}".to_owned())
+            }
             None => HttpResponse::empty(StatusCode::SERVICE_UNAVAILABLE),
         }
     }
+
+    /// Waits until the store holds the announcement that the upstream takes no new work, so that
+    /// the acknowledgement binds also the next process of this node.
+    ///
+    /// While the store is out of reach, the gate of this process alone keeps the promise.
+    async fn await_stored(&self) {
+        let (reply_to, rx) = ring(1);
+        self.decide.send(DecideMessage::AwaitStored(reply_to)).await;
+        if timeout(MAX_STORE_WAIT, rx.recv()).await.is_err() {
+            counter!("poplartrail_acks_not_stored_total").increment(1);
+            spdlog::warn!("acknowledged the end of the upstream before the store has recorded it");
+        }
+    }
 }
 
 fn not_found() -> HttpResponse {
--- a/crates/poplartrail-node/src/adapters/store/announce.rs
+++ b/crates/poplartrail-node/src/adapters/store/announce.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use poplartrail_core::member::MemberRecord;
+use poplartrail_core::{engine::Input, member::MemberRecord};
 use poplartrail_platform::store::{KeyedRecord, MEMBERS_TOPIC, append_call};
 use poplartrail_store::{StoreClient, StoreError};
 use poplartrail_wire::member::encode_member_record;
@@ -12,7 +12,7 @@
 
 use crate::{
     adapters::store::{backoff::Backoff, store_health::StoreHealth},
-    ports::Clock,
+    ports::{Clock, DecideMessage, RingSender},
 };
 
 /// Time limit for a response of the store, which takes milliseconds in normal operation.
@@ -31,6 +31,7 @@
     mut latest: watch::Receiver<Option<MemberRecord>>,
     clock: C,
     mut health: StoreHealth,
+    decide: RingSender<DecideMessage>,
 ) {
     let mut client = StoreClient::new(store);
     let mut epoch = 0;
@@ -41,7 +42,11 @@
             // A higher epoch makes the store refuse earlier appends that are still in flight.
             epoch = (epoch + 1).max(clock.wall().as_millis());
             match append_record(&mut client, &record, epoch).await {
-                Ok(_) => break,
+                Ok(_) => {
+                    let input = Input::MemberStored(Box::new(record));
+                    decide.send(DecideMessage::Input(input)).await;
+                    break;
+                }
                 Err(StoreError::Refused(StatusCode::CONFLICT)) => epoch += EPOCH_STEP_MS,
                 Err(err) => {
                     if matches!(err, StoreError::Unanswered(_)) {
--- a/crates/poplartrail-node/src/adapters/store/follow.rs
+++ b/crates/poplartrail-node/src/adapters/store/follow.rs
@@ -178,7 +178,7 @@
                 let members: Vec<_> = records.iter().filter_map(decode_member).collect();
                 self.members.extend(members.iter().map(|record| record.member.vm.clone()));
                 self.health.set_nodes(self.members.len());
-                Some(Input::PeerMembers(members))
+                Some(Input::StoredMembers(members))
             }
         };
         if let Some(input) = input {
--- a/crates/poplartrail-node/src/adapters/store/run.rs
+++ b/crates/poplartrail-node/src/adapters/store/run.rs
@@ -37,7 +37,8 @@
             tokio::spawn(follow(topic, options.addr, health.clone(), decide.clone()));
         }
         let (latest_tx, latest) = watch::channel(None);
-        let announcer = tokio::spawn(announce(options.addr, latest, options.clock, health));
+        let announcer =
+            tokio::spawn(announce(options.addr, latest, options.clock, health, decide.clone()));
         while let Some(message) = inbox.recv().await {
             if let PlatformMessage::AppendMember(record) = message {
                 latest_tx.send_replace(Some(record));
--- a/crates/poplartrail-node/src/decide/mod.rs
+++ b/crates/poplartrail-node/src/decide/mod.rs
@@ -2,6 +2,7 @@
 
 mod output_rings;
 mod run;
+mod upstream_messages;
 
 pub use output_rings::OutputRings;
 pub use run::{DrainedSender, run};
--- a/crates/poplartrail-node/src/decide/run.rs
+++ b/crates/poplartrail-node/src/decide/run.rs
@@ -5,7 +5,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    decide::OutputRings,
+    decide::{OutputRings, upstream_messages::UpstreamMessages},
     ports::{Clock, DecideMessage, RecvTimeoutError, RingReceiver},
 };
 
@@ -26,19 +26,24 @@
     drained: &DrainedSender,
 ) {
     let mut outputs = Vec::new();
+    let mut upstream_messages = UpstreamMessages::default();
     loop {
         let timeout = node.next_wake().since(clock.now());
         match inbox.recv_timeout(timeout) {
             Ok(message) => {
-                handle_message(&mut node, clock, message, &mut outputs);
+                handle_message(&mut node, clock, message, &mut upstream_messages, &mut outputs);
                 for _ in 1..MAX_BATCH_LEN {
                     let Some(message) = inbox.try_recv() else { break };
-                    handle_message(&mut node, clock, message, &mut outputs);
+                    handle_message(&mut node, clock, message, &mut upstream_messages, &mut outputs);
                 }
             }
             Err(RecvTimeoutError::TimedOut) => {}
             Err(RecvTimeoutError::Closed) => return,
         }
+        for message in upstream_messages.take_held(&node) {
+            handle_message(&mut node, clock, message, &mut upstream_messages, &mut outputs);
+        }
+        upstream_messages.confirm_stored(&node);
         if clock.now() >= node.next_wake() {
             node.handle(clock.now(), clock.wall(), Input::Wake, &mut outputs);
         }
@@ -51,6 +56,7 @@
     node: &mut Node,
     clock: &impl Clock,
     message: DecideMessage,
+    upstream_messages: &mut UpstreamMessages,
     outputs: &mut Vec<Output>,
 ) {
     let (now, wall) = (clock.now(), clock.wall());
@@ -63,6 +69,12 @@
             let _is_abandoned =
                 reply_to.try_send(matches!(node.phase(), NodePhase::Serving(_))).is_err();
         }
+        DecideMessage::Heartbeat { .. } | DecideMessage::Deregister { .. }
+            if !node.is_restored() =>
+        {
+            upstream_messages.hold(message);
+        }
+        DecideMessage::AwaitStored(reply_to) => upstream_messages.await_stored(reply_to),
         DecideMessage::Heartbeat { heartbeat, reply_to } => {
             let result = node.handle_heartbeat(now, wall, &heartbeat, outputs);
             drop(reply_to.try_send(result));
--- a/crates/poplartrail-node/src/ports/message.rs
+++ b/crates/poplartrail-node/src/ports/message.rs
@@ -45,6 +45,8 @@
         /// Receives the acknowledgement once the gate has applied the deregistration.
         reply_to: RingSender<()>,
     },
+    /// Asks to be told once the store holds the state of the local upstream that was announced last.
+    AwaitStored(RingSender<()>),
     /// Asks for the configuration on behalf of another node.
     GetConfig {
         /// VM of the other node.
--- a/crates/poplartrail-node/tests/many_nodes.rs
+++ b/crates/poplartrail-node/tests/many_nodes.rs
@@ -75,6 +75,7 @@
         terms: LeaseTerms { duration: Duration::from_secs(600), max_skew: Duration::ZERO },
         sent_at: Time::ZERO,
         slot_changes: Vec::new(),
+        upstream: None,
     };
     let body = encode_member_record(&record);
     log.append(&StreamId::Members(service), body).await.expect("the log takes the record");
--- a/crates/poplartrail-stand/src/hosted/store.rs
+++ b/crates/poplartrail-stand/src/hosted/store.rs
@@ -1,7 +1,7 @@
 //! A stand-in for the store of the hosting platform, with faults that tests switch on.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
     thread::sleep,
@@ -43,6 +43,9 @@
     is_down: bool,
     is_silent: bool,
     lost_responses: u32,
+    /// Topics whose requests get status 503.
+    down_topics: HashSet<String>,
+    append_delay: Duration,
     appends: u32,
     /// Reads by offset that have begun, by topic.
     reads: HashMap<String, u32>,
@@ -95,6 +98,21 @@
         self.lock().is_down = is_down;
     }
 
+    /// Sets whether every request for `topic` gets status 503.
+    pub fn set_topic_down(&self, topic: &str, is_down: bool) {
+        let down_topics = &mut self.lock().down_topics;
+        if is_down {
+            down_topics.insert(topic.to_owned());
+        } else {
+            down_topics.remove(topic);
+        }
+    }
+
+    /// Delays each append by `delay` before it takes effect.
+    pub fn set_append_delay(&self, delay: Duration) {
+        self.lock().append_delay = delay;
+    }
+
     /// Sets whether requests, including reads that are waiting, stay without a response.
     pub fn set_silent(&self, is_silent: bool) {
         self.lock().is_silent = is_silent;
@@ -137,7 +155,8 @@
             let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
             let query: HashMap<&str, &str> =
                 query.split('&').filter_map(|pair| pair.split_once('=')).collect();
-            if self.lock().is_down {
+            let is_topic_down = |topic: &&str| self.lock().down_topics.contains(*topic);
+            if self.lock().is_down || query.get("topic").is_some_and(is_topic_down) {
                 connection.write(&response(503, "", b""));
                 continue;
             }
@@ -158,6 +177,8 @@
     }
 
     fn append(&self, query: &HashMap<&str, &str>, body: &[u8]) -> Option<Vec<u8>> {
+        let delay = self.lock().append_delay;
+        sleep(delay);
         let mut state = self.lock();
         let topic = state.topics.entry(query["topic"].to_owned()).or_default();
         let epoch: u64 = query["epoch"].parse().expect("the epoch should be a number");
--- a/crates/poplartrail-wire/src/convert/member.rs
+++ b/crates/poplartrail-wire/src/convert/member.rs
@@ -5,8 +5,9 @@
 use poplartrail_core::{
     keys::{KeySlot, LeaseChange, LeaseTerms},
     member::{Member, MemberRecord, MemberState, SlotChange},
-    names::{ServiceName, VmName, ZoneName},
+    names::{InstanceName, ServiceName, VmName, ZoneName},
     time::{Time, WallTime},
+    upstream::UpstreamIncarnation,
 };
 use prost::Message;
 
@@ -38,6 +39,10 @@
         skew_ms: record.terms.max_skew.as_millis() as u32,
         sent_ns: record.sent_at.as_nanos(),
         slots: record.slot_changes.iter().map(slot_change_to_wire).collect(),
+        upstream: record.upstream.as_ref().map(|upstream| wire::Upstream {
+            instance: upstream.instance.to_string(),
+            started_ms: upstream.started_at.as_millis(),
+        }),
     }
 }
 
@@ -65,6 +70,14 @@
             .into_iter()
             .map(slot_change_from_wire)
             .collect::<Result<_, _>>()?,
+        upstream: record.upstream.as_ref().map(upstream_from_wire).transpose()?,
+    })
+}
+
+fn upstream_from_wire(upstream: &wire::Upstream) -> Result<UpstreamIncarnation, WireError> {
+    Ok(UpstreamIncarnation {
+        instance: InstanceName::new(&upstream.instance)?,
+        started_at: WallTime::from_millis(upstream.started_ms),
     })
 }
 
