--- a/crates/poplartrail-stand/src/hosted/instance.rs
+++ b/crates/poplartrail-stand/src/hosted/instance.rs
@@ -28,6 +28,8 @@
 /// - `500`: status 500
 /// - `full`: status 503, and the request is not run
 /// - `unsigned`: no server signature
+/// - `first-BYTES`: the request runs, and the connection is closed after that many bytes of the
+///   answer
 /// - `cut`: the last bytes of the body are missing, and the connection is closed
 /// - `extra`: the answer is sent twice
 /// - `foreign`: an answer to another request is sent before the answer
@@ -89,7 +91,7 @@
 
     /// Returns the number of runs whose work has completed.
     ///
-    /// `cut` and `lost` runs and requests that were refused without a run are not counted.
+    /// `first-BYTES`, `cut` and `lost` runs and requests that were refused without a run are not counted.
     pub fn completed(&self) -> usize {
         self.completed.load(Ordering::SeqCst)
     }
@@ -161,6 +163,11 @@
                 self.longest_answer.fetch_max(written, Ordering::SeqCst);
                 return false;
             }
+            None if scenario.starts_with("first-") => {
+                let len = scenario["first-".len()..].parse().unwrap_or(0);
+                connection.write(&answer[..answer.len().min(len)]);
+                return false;
+            }
             None if scenario == "cut" => {
                 connection.write(&answer[..answer.len() - 3]);
                 return false;
