Spare calls and bytes between zones where a fleet notices a lost poll anyway

Two causes: while the fleet starts, each node knows no or one member and polls every 0.8 s on average; and each node keeps a QUIC connection to another zone for its comparison of the configuration.

Now a node that does not know its own record yet polls for 4 s, one that knows none but its own for 1.5 s, and a node with four others or more in its zone asks no other zone: the polls of these notice a fault that hits all of them.

--- a/crates/poplartrail-core/src/engine/config_check.rs
+++ b/crates/poplartrail-core/src/engine/config_check.rs
@@ -14,9 +14,11 @@
 /// Mean time between two checks, which bounds how long a node serves by an old configuration that
 /// the store does not tell it of.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of checks of which one goes to another availability zone. Bytes between zones are priced,
-/// while a zone as a whole seldom loses what the store sends.
+/// Number of checks of which one goes to another availability zone if the own one has few nodes.
 const CHECKS_PER_REMOTE_CHECK: u32 = 4;
+/// Number of other nodes in the zone from which on none of another zone is asked: bytes between zones
+/// are priced, and the long poll of one of these nodes soon notices a fault that hits all of them.
+const MANY_NEAR_NODES: usize = 4;
 /// Time since its last reply for which a connection to another node is taken to be open.
 const CONNECTION_LIFETIME: Duration = Duration::from_secs(20);
 
@@ -27,8 +29,8 @@
     has_replied: bool,
 }
 
-/// Schedule of the checks and the choice of the node to ask, mostly one of the own availability zone
-/// and at times one of another, since a fault of the store may hit a zone as a whole.
+/// Schedule of the checks and the choice of the node to ask: one of the own availability zone, or in
+/// a small zone at times one of another, since a fault of the store may hit the zone as a whole.
 #[derive(Debug, Default)]
 pub(crate) struct ConfigCheck {
     next_at: Time,
@@ -60,8 +62,10 @@
         let (near, remote): (Vec<&Instance>, Vec<&Instance>) = others
             .filter(|instance| instance.vm != local.vm && instance.is_available(now))
             .partition(|instance| instance.zone == local.zone);
-        let is_remote_check = self.checks.is_multiple_of(CHECKS_PER_REMOTE_CHECK);
-        let chosen = if near.is_empty() || (is_remote_check && !remote.is_empty()) {
+        let is_remote_check = near.len() < MANY_NEAR_NODES
+            && self.checks.is_multiple_of(CHECKS_PER_REMOTE_CHECK)
+            && !remote.is_empty();
+        let chosen = if near.is_empty() || is_remote_check {
             self.choose_remote(&remote, rng)
         } else {
             choose_near(now, &near, rng)
--- a/crates/poplartrail-core/src/member/poll_wait.rs
+++ b/crates/poplartrail-core/src/member/poll_wait.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-/// Longest wait of a node that knows no other node, and so can learn of a lost response only by
-/// itself.
-const MIN_WAIT_CAP: Duration = Duration::from_millis(1500);
+/// Wait of a node that has just started and does not know its own record yet. All nodes of a fleet
+/// may start together.
+const STARTING_WAIT: Duration = Duration::from_secs(4);
+/// Wait of a node that knows no other node, and so can learn of a lost response only by itself.
+const LONE_NODE_WAIT: Duration = Duration::from_millis(1500);
 /// Longest wait in a fleet of any size; the store allows 30 s.
 const MAX_WAIT_CAP: Duration = Duration::from_secs(28);
 /// Shortest mean wait, which bounds the calls of a small fleet.
@@ -18,8 +20,12 @@
 /// fleet. Waits are distributed exponentially: a record that ends the polls of all nodes at the same
 /// time then does not align their next ones.
 pub fn poll_wait(nodes: usize, fleet_interval: Duration, random: f64) -> Duration {
-    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX).max(1);
+    let nodes = match u32::try_from(nodes).unwrap_or(u32::MAX) {
+        0 => return STARTING_WAIT,
+        1 => return LONE_NODE_WAIT,
+        nodes => nodes,
+    };
     let mean = fleet_interval.saturating_mul(nodes).clamp(MIN_MEAN_WAIT, MAX_WAIT_CAP);
-    let cap = Duration::from_secs(u64::from(nodes)).clamp(MIN_WAIT_CAP, MAX_WAIT_CAP);
+    let cap = Duration::from_secs(u64::from(nodes)).min(MAX_WAIT_CAP);
     mean.mul_f64(-(1.0 - random).ln()).min(cap)
 }
