End one call, not the connection, when a client leaves within its upload

Cause: the sender's task is aborted, and the QUIC library finishes a stream that is dropped. The receiver takes the part for a malformed message and closes the connection. A part that ends between two fields decodes without the field that says a call may run only once.

Evidence: cut_uploads failed before (502 for a call of another client when one left 20 ms after its last byte), with 'message not understood' in the log of the receiver.

Change: RequestStream resets the stream unless the request was sent in full; the receiver ends that call and counts it.

No wake-up or byte more for a whole request.

--- a/crates/poplartrail-node/src/adapters/peers/receive.rs
+++ b/crates/poplartrail-node/src/adapters/peers/receive.rs
@@ -9,7 +9,7 @@
     generated::CallRequest,
     reply,
 };
-use quinn::{Connection, Incoming, RecvStream, SendStream};
+use quinn::{Connection, Incoming, ReadToEndError, RecvStream, SendStream};
 use tokio::sync::OnceCell;
 
 use crate::{
@@ -57,8 +57,13 @@
         mut tx: SendStream,
         mut rx: RecvStream,
     ) {
-        let Ok(bytes) = rx.read_to_end(self.options.max_message_bytes).await else {
-            return refuse_message(connection, "message too long or broken off");
+        let bytes = match rx.read_to_end(self.options.max_message_bytes).await {
+            Ok(bytes) => bytes,
+            Err(ReadToEndError::TooLong) => return refuse_message(connection, "message too long"),
+            // The sender has given up this request. Others on the connection go on.
+            Err(ReadToEndError::Read(_)) => {
+                return counter!("poplartrail_peer_messages_broken_off_total").increment(1);
+            }
         };
         let Ok(request) = decode_request(&bytes) else {
             return refuse_message(connection, "message not understood");
--- a/crates/poplartrail-node/src/adapters/peers/send.rs
+++ b/crates/poplartrail-node/src/adapters/peers/send.rs
@@ -8,7 +8,7 @@
     route::GateReport,
 };
 use poplartrail_wire::reply::{PeerReply, decode_reply};
-use quinn::Connection;
+use quinn::{Connection, SendStream, VarInt};
 use tokio::time::timeout;
 
 use crate::{
@@ -24,6 +24,9 @@
 /// afterwards.
 const CALL_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Code with which a request that is no longer wanted is broken off.
+const CANCELLED: VarInt = VarInt::from_u32(0);
+
 /// Sends a call and returns its reply.
 pub(crate) async fn call(
     dialer: &Dialer,
@@ -79,14 +82,37 @@
     let _is_late = timeout(ASK_TIMEOUT, send).await.is_err();
 }
 
+/// Stream of a request. If it is dropped before the request has been sent in full, the receiver is
+/// told so: by itself, the end of the stream would pass for that of the message.
+struct RequestStream {
+    tx: SendStream,
+    is_finished: bool,
+}
+
+impl RequestStream {
+    async fn send(mut self, message: &[u8]) -> Result<(), PeerFault> {
+        self.tx.write_all(message).await.map_err(|_| PeerFault::Lost)?;
+        self.is_finished = true;
+        self.tx.finish().map_err(|_| PeerFault::Lost)
+    }
+}
+
+impl Drop for RequestStream {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            // Fails if the other node has stopped the stream.
+            let _is_closed = self.tx.reset(CANCELLED).is_err();
+        }
+    }
+}
+
 async fn exchange(
     connection: &Connection,
     message: &[u8],
     max_bytes: usize,
 ) -> Result<PeerReply, PeerFault> {
-    let (mut tx, mut rx) = connection.open_bi().await.map_err(|_| PeerFault::Unsent)?;
-    tx.write_all(message).await.map_err(|_| PeerFault::Lost)?;
-    tx.finish().map_err(|_| PeerFault::Lost)?;
+    let (tx, mut rx) = connection.open_bi().await.map_err(|_| PeerFault::Unsent)?;
+    RequestStream { tx, is_finished: false }.send(message).await?;
     let reply = rx.read_to_end(max_bytes).await.map_err(|_| PeerFault::Lost)?;
     decode_reply(&reply).map_err(|_| PeerFault::Lost)
 }
