Cap the keep-alive timeout that an instance states

Seen by callers: with 'Keep-Alive: timeout=' in an answer, the caller got 504 at its time limit, though the instance had run the request and answered 200.

Cause: the time of the last reuse is an Instant plus the stated time, which overflows and ends the task of the call.

Evidence: endless_keep_alive_is_no_fault failed before with 504 and one run.

Change: the stated time is taken as an hour at most.

--- a/crates/poplartrail-http/src/h1/connection.rs
+++ b/crates/poplartrail-http/src/h1/connection.rs
@@ -30,6 +30,9 @@
 /// Keep-alive timeout that is assumed for a server that states none.
 const DEFAULT_KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest keep-alive timeout that is relied upon.
+const MAX_KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(3600);
+
 /// Timeouts and limits of a [`ClientConnection`].
 #[derive(Debug, Clone)]
 pub struct ClientOptions {
@@ -217,7 +220,8 @@
     socket.set_tcp_user_timeout(Some(options.keepalive_interval * 2))
 }
 
-/// Returns how long an idle connection may be reused after a response with `headers`.
+/// Returns how long an idle connection may be reused after a response with `headers`, whatever number
+/// the server states.
 fn reuse_window(headers: &HeaderMap) -> Duration {
     let stated = headers
         .get("keep-alive")
@@ -225,5 +229,5 @@
         .and_then(|value| value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
         .and_then(|seconds| seconds.parse().ok())
         .map_or(DEFAULT_KEEP_ALIVE_TIMEOUT, Duration::from_secs);
-    stated.mul_f64(REUSE_FRACTION)
+    stated.min(MAX_KEEP_ALIVE_TIMEOUT).mul_f64(REUSE_FRACTION)
 }
--- a/crates/poplartrail-node/tests/bad_answers.rs
+++ b/crates/poplartrail-node/tests/bad_answers.rs
@@ -45,6 +45,18 @@
     assert_eq!(instance.runs("d1"), 0);
 }
 
+/// The instance states a keep-alive timeout that no clock can hold.
+#[test]
+fn endless_keep_alive_is_no_fault() {
+    let (_store, instance, node) = HostedNode::start_single(SITE);
+    for turn in 0..3 {
+        let id = format!("f{turn}");
+        let reply = node.caller().call("POST", HOST, "/book/kept", &id).expect("an answer");
+        assert_eq!((reply.status, instance.runs(&id)), (200, 1));
+    }
+    assert!(!node.output().contains("panicked"), "{}", node.output());
+}
+
 #[test_case("extra")]
 #[test_case("foreign")]
 fn every_caller_gets_its_own_answer(fault: &str) {
--- a/crates/poplartrail-stand/src/hosted/instance.rs
+++ b/crates/poplartrail-stand/src/hosted/instance.rs
@@ -29,6 +29,7 @@
 /// - `ok`, or any segment that is not listed: status 200
 /// - `slow-MS`: status 200 after MS milliseconds
 /// - `kb-SIZE`: status 200 with a body of that many KiB, after 300 ms
+/// - `kept`: the longest keep-alive timeout that can be written
 /// - `500`: status 500
 /// - `full`: status 503, and the request is not run
 /// - `unsigned`: no server signature
@@ -190,6 +191,10 @@
                 let size: usize = scenario["kb-".len()..].parse().unwrap_or(0);
                 connection.write(&response(200, &fields, &vec![b'k'; size << 10]));
             }
+            "kept" => {
+                let fields = format!("{fields}keep-alive: timeout={}\r\n", u64::MAX);
+                connection.write(&response(200, &fields, body.as_bytes()));
+            }
             "unsigned" => {
                 let fields = format!("x-request-id: {id}\r\n");
                 connection.write(&response(200, &fields, b"whose?"));
