--- a/crates/poplartrail-node/tests/upstream_exit.rs
+++ b/crates/poplartrail-node/tests/upstream_exit.rs
@@ -67,6 +67,15 @@
     node.await_condition("logging the refusal", || node.output().contains("heartbeat refused"));
 }
 
+/// A body that cannot be read may be about another start, and a deregistration is final.
+#[test_case("{\"born\":\"soon\"}"; "other type")]
+#[test_case("{\"born\":1"; "cut off")]
+fn malformed_deregistration_changes_nothing(body: &str) {
+    let (_store, instance, node) = HostedNode::start_single(SITE);
+    assert_eq!(node.send_raw_deregistration(instance.id(), body), 400);
+    assert_eq!(node.caller().call("GET", HOST, "/read/ok", "e1").expect("an answer").status, 200);
+}
+
 #[test]
 fn foreign_heartbeat_is_refused() {
     let (_store, instance, node) = HostedNode::start_single(SITE);
--- a/crates/poplartrail-stand/src/hosted/node.rs
+++ b/crates/poplartrail-stand/src/hosted/node.rs
@@ -149,9 +149,13 @@
     ///
     /// Returns the status of the response, or 0 without one.
     pub fn send_raw_heartbeat(&self, id: &str, body: &str) -> u16 {
+        self.send_control("PUT", id, body)
+    }
+
+    fn send_control(&self, method: &str, id: &str, body: &str) -> u16 {
         let mut caller = HostedCaller::connect(self.control_addr);
         let head = format!(
-            "PUT /-/instances/{id} HTTP/1.1\r\nhost: n\r\ncontent-length: {}\r\n\r\n",
+            "{method} /-/instances/{id} HTTP/1.1\r\nhost: n\r\ncontent-length: {}\r\n\r\n",
             body.len()
         );
         caller.write(head.as_bytes());
@@ -162,10 +166,14 @@
     /// Sends a deregistration of `instance` and returns the status of the response, or 0 without
     /// one.
     pub fn send_deregistration(&self, instance: &StandInstance) -> u16 {
-        let mut caller = HostedCaller::connect(self.control_addr);
-        let head = format!("DELETE /-/instances/{} HTTP/1.1\r\nhost: n\r\n\r\n", instance.id());
-        caller.write(head.as_bytes());
-        caller.read().map_or(0, |reply| reply.status)
+        self.send_raw_deregistration(instance.id(), "")
+    }
+
+    /// Sends a deregistration of the instance `id` with the given body, which may be malformed.
+    ///
+    /// Returns the status of the response, or 0 without one.
+    pub fn send_raw_deregistration(&self, id: &str, body: &str) -> u16 {
+        self.send_control("DELETE", id, body)
     }
 
     /// Returns the number of calls in progress at the instance, from the status page of the node.
