--- a/crates/poplartrail-node/tests/slow_readers.rs
+++ b/crates/poplartrail-node/tests/slow_readers.rs
@@ -87,7 +87,7 @@
     node.process().signal("TERM");
     sleep(READ_PAUSE);
     let len = read_to_end(stream);
-    assert!(len > PIPELINED * PIPELINED_KIB << 10, "{len} bytes of {PIPELINED} answers");
+    assert!(len > (PIPELINED * PIPELINED_KIB) << 10, "{len} bytes of {PIPELINED} answers");
 }
 
 /// A client that never reads costs the grace time and no more.
