Count an acknowledgement as stored only if the store has confirmed it

Found by reading: the wait for the store also ended when the decide thread dropped the request, as it does beyond 64 waiting ones, and the acknowledgement then counted as stored. The response to the upstream is the same; the counter and the log line were missing. No test: it takes 64 deregistrations at once while the store is out of reach.

--- a/crates/poplartrail-core/src/engine/restore.rs
+++ b/crates/poplartrail-core/src/engine/restore.rs
@@ -7,7 +7,7 @@
     engine::{Event, EventKind, Node, Output},
     member::{MemberRecord, MemberState},
     time::{Time, WallTime},
-    upstream::UpstreamChange,
+    upstream::{UpstreamChange, UpstreamIncarnation},
 };
 
 /// Largest difference assumed between the clocks of two VMs.
@@ -99,6 +99,6 @@
 /// replaced by any record or heartbeat to come.
 pub(super) fn is_plausible(wall: WallTime, record: &MemberRecord) -> bool {
     let max = wall + MAX_CLOCK_DIFFERENCE;
-    let is_past = |upstream: &crate::upstream::UpstreamIncarnation| upstream.started_at <= max;
+    let is_past = |upstream: &UpstreamIncarnation| upstream.started_at <= max;
     record.member.incarnation <= max.as_millis() && record.upstream.as_ref().is_none_or(is_past)
 }
--- a/crates/poplartrail-node/src/adapters/front/control.rs
+++ b/crates/poplartrail-node/src/adapters/front/control.rs
@@ -8,7 +8,6 @@
 use poplartrail_platform::{
     ControlCall, decode_control_call, encode_control_error, is_readiness_call,
 };
-
 use tokio::time::timeout;
 
 use crate::{
@@ -100,7 +99,7 @@
     async fn await_stored(&self) {
         let (reply_to, rx) = ring(1);
         self.decide.send(DecideMessage::AwaitStored(reply_to)).await;
-        if timeout(MAX_STORE_WAIT, rx.recv()).await.is_err() {
+        if timeout(MAX_STORE_WAIT, rx.recv()).await != Ok(Some(())) {
             counter!("poplartrail_acks_not_stored_total").increment(1);
             spdlog::warn!("acknowledged the end of the upstream before the store has recorded it");
         }
