--- a/crates/poplartrail-core/src/engine/announcement.rs
+++ b/crates/poplartrail-core/src/engine/announcement.rs
@@ -14,6 +14,7 @@
     /// Whether the record of an earlier process of the node has been read, or there is none.
     is_restored: bool,
     latest: Option<MemberRecord>,
+    /// Whether the store holds `latest`.
     is_stored: bool,
 }
 
--- a/crates/poplartrail-core/src/engine/config_check.rs
+++ b/crates/poplartrail-core/src/engine/config_check.rs
@@ -34,6 +34,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct ConfigCheck {
     next_at: Time,
+    /// Number of checks that have been due.
     checks: u32,
     remote: Option<RemotePartner>,
 }
--- a/crates/poplartrail-core/src/engine/config_exchange.rs
+++ b/crates/poplartrail-core/src/engine/config_exchange.rs
@@ -11,6 +11,7 @@
 
 /// Minimum time between two rounds of requests to the seeds.
 const SEED_ASK_INTERVAL: Duration = Duration::from_secs(1);
+
 impl Node {
     /// Returns the configuration in force in the form that other nodes receive.
     pub fn config_snapshot(&self) -> Option<Snapshot> {
--- a/crates/poplartrail-node/src/adapters/server/connection.rs
+++ b/crates/poplartrail-node/src/adapters/server/connection.rs
@@ -250,9 +250,9 @@
             let body = "the request was not received in time: send it faster\n".to_owned();
             let response = HttpResponse::text(StatusCode::REQUEST_TIMEOUT, "text/plain", body);
             let unsent = self.unsent.begin();
-            let is_head = false;
-            self.write(CompletedRequest { response, unsent, is_head, closes_connection: true })
-                .await;
+            let completed =
+                CompletedRequest { response, unsent, is_head: false, closes_connection: true };
+            self.write(completed).await;
         }
         false
     }
