--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -20,11 +20,13 @@
 };
 
 const CLIENTS: usize = 8;
-/// Length of an answer, in bytes.
-const ANSWER_LEN: usize = 256 << 10;
-/// Bytes that a client reads at a time, and the pause after each read: about 400 KB a second.
-const READ_LEN: usize = 16 << 10;
-const READ_PAUSE: Duration = Duration::from_millis(40);
+/// Length of an answer in bytes, the longest of the site's `route-lookup`.
+const ANSWER_LEN: usize = 9_000;
+/// Receive buffer of a client, in bytes.
+const WINDOW: i32 = 4 << 10;
+/// Bytes that a client reads at a time, and the pause after each read: 10 KB a second.
+const READ_LEN: usize = 1 << 10;
+const READ_PAUSE: Duration = Duration::from_millis(100);
 /// Time limit of each request.
 const LIMIT_MS: u64 = 5_000;
 const GRACE_S: u32 = 6;
@@ -151,8 +153,8 @@
 /// Sends two requests at once and a third while the first answer is still being read. Reads all
 /// answers slowly.
 fn read_ahead(addr: std::net::SocketAddr, n: usize, record: &Record) -> Seen {
-    let mut client = Client::connect(addr).expect("the node should accept connections");
-    client.set_receive_buffer(READ_LEN as i32);
+    let mut client =
+        Client::connect_with_buffer(addr, WINDOW).expect("the node should accept connections");
     let path = format!("/lookup/ms-300/len-{ANSWER_LEN}/");
     let sent_at = Instant::now();
     for k in 1..=2 {
--- a/review/stand-2/http.rs
+++ b/review/stand-2/http.rs
@@ -63,6 +63,15 @@
         self.buf.len()
     }
 
+    /// Returns a header field of the message that has begun, once its head is complete.
+    pub fn peek_field(&self, name: &str) -> Option<String> {
+        let head_len = self.buf.windows(4).position(|w| w == b"\r\n\r\n")?;
+        let head = String::from_utf8_lossy(&self.buf[..head_len]).into_owned();
+        let mut fields = head.split("\r\n").filter_map(|line| line.split_once(':'));
+        let field = fields.find(|(n, _)| n.eq_ignore_ascii_case(name));
+        field.map(|(_, value)| value.trim().to_owned())
+    }
+
     /// Removes the next whole message from what was read; `None` if it is not complete.
     pub fn take_message(&mut self) -> Option<Message> {
         let head_len = self.buf.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
