--- a/review/10/case.rs
+++ b/review/9/case.rs
@@ -97,9 +97,10 @@
     let answered = clients.into_iter().filter_map(|c| c.join().ok()).filter(|&ok| ok).count();
     let tries = tries.load(Ordering::SeqCst);
     let waited = taken_after.unwrap_or(tried_from.elapsed());
+    let first = if taken_after.is_some() { "the first after" } else { "none within" };
     record.line(&format!(
-        "{NEW_CLIENTS} new clients, {tries} connections tried, {answered} clients answered; the \
-         first after {:.1} s; ready {ready} of {asked} times",
+        "{NEW_CLIENTS} new clients, {tries} connections tried, {answered} clients answered, \
+         {first} {:.1} s; ready {ready} of {asked} times",
         waited.as_secs_f64()
     ));
     let kept_len = kept.len();
