Record what an upstream says of itself in its answers

The answers of the upstream are now decoded for its limit and for whether it leaves (UpstreamNotice, platform/). A change of the limit is a log line and an event (named-limit), a counter (poplartrail_events_total), and named_limit on the status page. That an answer says the upstream leaves is a line too. Answers overtake each other, so a higher limit or none counts only from an answer to a call that was dispatched after the limit was last named.

Nothing acts on either yet: no call is admitted, refused or routed in another way.

--- a/crates/poplartrail-bench/src/simulation/world.rs
+++ b/crates/poplartrail-bench/src/simulation/world.rs
@@ -413,7 +413,7 @@
             return self.deliver(
                 Duration::from_micros(100),
                 node,
-                Input::UpstreamDone { call, result },
+                Input::UpstreamDone { call, result, notice: None },
             );
         }
         if self.vms[node].upstream.accept(self.now, call, job) {
@@ -461,7 +461,7 @@
         let result = if is_lost { Err(UpstreamFault::Lost) } else { Ok(answer) };
         // A call queued in the upstream gets the slot before any call that the node dispatches.
         self.start_queued(node);
-        self.handle_input(node, Input::UpstreamDone { call, result });
+        self.handle_input(node, Input::UpstreamDone { call, result, notice: None });
     }
 
     /// Ends a call in the upstream and returns whether it held a slot.
@@ -527,7 +527,11 @@
         self.vms[node].upstream.is_killed = true;
         for call in self.vms[node].upstream.drop_all() {
             let result = Err(UpstreamFault::Lost);
-            self.deliver(KILL_DETECTION_DELAY, node, Input::UpstreamDone { call, result });
+            self.deliver(
+                KILL_DETECTION_DELAY,
+                node,
+                Input::UpstreamDone { call, result, notice: None },
+            );
         }
     }
 }
--- a/crates/poplartrail-core/src/engine/calls.rs
+++ b/crates/poplartrail-core/src/engine/calls.rs
@@ -345,6 +345,15 @@
         Some(std::mem::replace(&mut active_call.stage, Stage::InTransition))
     }
 
+    /// Returns the time at which a call was dispatched to the local upstream; `None` unless it is
+    /// in progress there.
+    pub(crate) fn dispatched_at(&self, key: CallKey) -> Option<Time> {
+        match &self.active_calls.get(key)?.stage {
+            Stage::Running(call) => Some(call.state().dispatched_at),
+            _ => None,
+        }
+    }
+
     /// Removes a queued call from its stage; leaves a call in any other stage as it is.
     pub(crate) fn dequeue(&mut self, key: CallKey) -> Option<Call<crate::call::Admitted>> {
         match self.begin_transition(key)? {
--- a/crates/poplartrail-core/src/engine/event.rs
+++ b/crates/poplartrail-core/src/engine/event.rs
@@ -5,6 +5,7 @@
 use crate::{
     call::{Refusal, RequestId},
     names::{InstanceName, RankName, ServiceName, VmName},
+    upstream::CallRate,
 };
 
 /// A decision or a change of state on a node, with its cause.
@@ -87,6 +88,20 @@
         /// Name of the instance.
         instance: InstanceName,
     },
+    /// The local upstream names another limit on the rate of its calls than before.
+    CallLimitNamed {
+        /// Name of the instance.
+        instance: InstanceName,
+        /// Rate before; `None` if there was no limit.
+        from: Option<CallRate>,
+        /// Rate from now on; `None` if there is no limit.
+        to: Option<CallRate>,
+    },
+    /// An answer of the local upstream states that it is about to exit.
+    LeavingAnswered {
+        /// Name of the instance.
+        instance: InstanceName,
+    },
     /// The operators' configuration of the site is invalid and not applied.
     SiteDocumentRefused {
         /// Description of the error.
@@ -178,7 +193,10 @@
             EventKind::Refused { .. } | EventKind::RefusedOnArrival { .. } => "refused",
             EventKind::Retried { .. } => "retried",
             EventKind::Rerouted { .. } => "moved",
-            EventKind::UpstreamChanged { .. } | EventKind::UpstreamRestored { .. } => "upstream",
+            EventKind::UpstreamChanged { .. }
+            | EventKind::UpstreamRestored { .. }
+            | EventKind::LeavingAnswered { .. } => "upstream",
+            EventKind::CallLimitNamed { .. } => "named-limit",
             EventKind::SiteDocumentRefused { .. } => "site-refused",
             EventKind::OutcomeUnknown { .. } => "in-doubt",
             EventKind::Late { .. } => "late",
@@ -222,6 +240,15 @@
             EventKind::UpstreamRestored { instance } => {
                 write!(f, "upstream {instance} is leaving, as an earlier process has announced")
             }
+            EventKind::CallLimitNamed { instance, from, to } => {
+                write!(f, "upstream {instance} names its limit: ")?;
+                write_rate(f, *from)?;
+                f.write_str(" -> ")?;
+                write_rate(f, *to)
+            }
+            EventKind::LeavingAnswered { instance } => {
+                write!(f, "upstream {instance} states in an answer that it is leaving")
+            }
             EventKind::SiteDocumentRefused { reason } => {
                 write!(f, "configuration cannot be used: {reason}")
             }
@@ -254,3 +281,10 @@
         }
     }
 }
+
+fn write_rate(f: &mut fmt::Formatter<'_>, rate: Option<CallRate>) -> fmt::Result {
+    match rate {
+        Some(rate) => write!(f, "{rate}"),
+        None => f.write_str("none"),
+    }
+}
--- a/crates/poplartrail-core/src/engine/input.rs
+++ b/crates/poplartrail-core/src/engine/input.rs
@@ -15,6 +15,7 @@
     names::{RankName, ServiceName, VmName},
     route::GateReport,
     time::{Time, WallTime},
+    upstream::UpstreamNotice,
 };
 
 /// Adapter that waits for a reply.
@@ -220,6 +221,8 @@
         call: CallKey,
         /// Answer, or the reason why there is none.
         result: Result<Answer, UpstreamFault>,
+        /// What the upstream says of itself; `None` if no answer of its own arrived.
+        notice: Option<UpstreamNotice>,
     },
     /// Another node replied, or will not.
     PeerDone {
--- a/crates/poplartrail-core/src/engine/mod.rs
+++ b/crates/poplartrail-core/src/engine/mod.rs
@@ -22,6 +22,7 @@
 mod node;
 mod node_options;
 mod node_status;
+mod notices;
 mod output;
 mod peer_call;
 mod phase;
--- a/crates/poplartrail-core/src/engine/node.rs
+++ b/crates/poplartrail-core/src/engine/node.rs
@@ -72,7 +72,10 @@
             Input::CallerLeft(reply_to) => {
                 self.with_calls(now, wall, out, |calls, cx| calls.handle_caller_left(cx, reply_to));
             }
-            Input::UpstreamDone { call, result } => {
+            Input::UpstreamDone { call, result, notice } => {
+                if let Some(notice) = notice {
+                    self.observe_notice(now, call, notice, out);
+                }
                 self.with_calls(now, wall, out, |calls, cx| {
                     calls.handle_upstream_result(cx, call, result);
                 });
@@ -195,6 +198,7 @@
             phase: self.phase.label(),
             config_version: self.cluster.config_version(),
             concurrency_limit: calls.gate().limit(),
+            named_limit: self.hosted.as_ref().and_then(|hosted| hosted.call_limit.rate()),
             in_flight: calls.gate().in_flight(),
             queued: calls.gate().queued(),
             key_slots: self.cluster.key_slots_held(),
--- a/crates/poplartrail-core/src/engine/node_status.rs
+++ b/crates/poplartrail-core/src/engine/node_status.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use crate::names::{RankName, ServiceName, VmName, ZoneName};
+use crate::{
+    names::{RankName, ServiceName, VmName, ZoneName},
+    upstream::CallRate,
+};
 
 /// State of one rank at this node's gate.
 #[derive(Debug, Clone, PartialEq)]
@@ -47,6 +50,8 @@
     pub config_version: u64,
     /// Maximum number of calls in the upstream; `usize::MAX` if it is not limited.
     pub concurrency_limit: usize,
+    /// Limit that the upstream names for the rate of its calls; `None` if it names none.
+    pub named_limit: Option<CallRate>,
     /// Number of calls in the upstream.
     pub in_flight: usize,
     /// Number of calls in the gate's queue.
--- /dev/null
+++ b/crates/poplartrail-core/src/upstream/call_limit.rs
@@ -0,0 +1,46 @@
+//! Limit on the rate of calls that holds for the registered upstream.
+
+use crate::{
+    time::Time,
+    upstream::{CallRate, NamedLimit},
+};
+
+/// Limit on the rate of calls, as the answers of one incarnation of the upstream have named it.
+///
+/// Answers overtake each other on their connections. A lower limit therefore holds at once, and a
+/// higher one or none only if the upstream has named it to a call that was dispatched after the
+/// limit in force was last named.
+#[derive(Debug, Clone, Default)]
+pub struct CallLimit {
+    rate: Option<CallRate>,
+    /// Time at which the rate was last named, or its absence last observed.
+    stated_at: Option<Time>,
+}
+
+impl CallLimit {
+    /// Returns the rate of calls that the upstream takes; `None` if it has named no limit.
+    pub fn rate(&self) -> Option<CallRate> {
+        self.rate
+    }
+
+    /// Returns the time at which the upstream last stated the limit in force.
+    pub fn stated_at(&self) -> Option<Time> {
+        self.stated_at
+    }
+
+    /// Applies the limit that an answer to a call dispatched at `dispatched_at` names, and returns
+    /// whether the rate changed.
+    pub fn observe(&mut self, now: Time, dispatched_at: Time, named: NamedLimit) -> bool {
+        let rate = match named {
+            NamedLimit::Unreadable => return false,
+            NamedLimit::Absent => None,
+            NamedLimit::Rate(rate) => Some(rate),
+        };
+        let is_raised = self.rate.is_some_and(|known| rate.is_none_or(|rate| rate > known));
+        if is_raised && self.stated_at.is_some_and(|at| dispatched_at < at) {
+            return false;
+        }
+        self.stated_at = Some(now);
+        std::mem::replace(&mut self.rate, rate) != rate
+    }
+}
--- a/crates/poplartrail-core/tests/once_histories.rs
+++ b/crates/poplartrail-core/tests/once_histories.rs
@@ -336,7 +336,7 @@
         let answer = Answer { status: 200, fields: Vec::new(), body };
         let result = if self.chance(0.1) { Err(UpstreamFault::Lost) } else { Ok(answer) };
         let wait = self.millis(1, 600);
-        self.schedule_input(wait, node, Input::UpstreamDone { call, result });
+        self.schedule_input(wait, node, Input::UpstreamDone { call, result, notice: None });
     }
 
     fn reply(&mut self, node: usize, reply_to: ReplyHandle, outcome: Outcome, report: GateReport) {
--- a/crates/poplartrail-core/tests/shedding_upstream.rs
+++ b/crates/poplartrail-core/tests/shedding_upstream.rs
@@ -34,7 +34,7 @@
         } else {
             Ok(Answer { status: 200, fields: Vec::new(), body: Bytes::new() })
         };
-        let out = run.handle_at(now, Input::UpstreamDone { call, result });
+        let out = run.handle_at(now, Input::UpstreamDone { call, result, notice: None });
         let report = out.iter().find_map(|output| match output {
             Output::Reply { report, .. } => Some(report.clone()),
             _ => None,
--- a/crates/poplartrail-node/src/adapters/report/json.rs
+++ b/crates/poplartrail-node/src/adapters/report/json.rs
@@ -38,6 +38,7 @@
         "phase": status.phase,
         "config": status.config_version,
         "limit": limit,
+        "named_limit": status.named_limit.map(|rate| rate.per_second()),
         "in_flight": status.in_flight,
         "queued": status.queued,
         "slots": status.key_slots,
--- a/crates/poplartrail-node/src/adapters/upstream/dispatch.rs
+++ b/crates/poplartrail-node/src/adapters/upstream/dispatch.rs
@@ -20,7 +20,7 @@
         ingress::fields::{
             CONTEXT_FIELD, DEADLINE_FIELD, RANK_FIELD, REQUEST_ID_FIELD, encode_context,
         },
-        upstream::{Dispatch, UpstreamOptions},
+        upstream::{Dispatch, DispatchEnd, UpstreamOptions},
     },
     ports::Clock,
 };
@@ -74,14 +74,11 @@
         }
         Some(())
     }
-}
 
-impl<C: Clock + Sync> Dispatch for Dispatcher<C> {
-    async fn dispatch(
+    async fn exchange(
         &self,
         call: CallKey,
         context: &Context,
-        _instance: Option<&InstanceName>,
         payload: Payload,
     ) -> Result<Answer, UpstreamFault> {
         let is_head = &*payload.method == "HEAD";
@@ -105,6 +102,18 @@
     }
 }
 
+impl<C: Clock + Sync> Dispatch for Dispatcher<C> {
+    async fn dispatch(
+        &self,
+        call: CallKey,
+        context: &Context,
+        _instance: Option<&InstanceName>,
+        payload: Payload,
+    ) -> DispatchEnd {
+        DispatchEnd { result: self.exchange(call, context, payload).await, notice: None }
+    }
+}
+
 fn header_value(text: &str) -> Option<HeaderValue> {
     HeaderValue::from_str(text).ok()
 }
--- a/crates/poplartrail-node/src/adapters/upstream/hosted.rs
+++ b/crates/poplartrail-node/src/adapters/upstream/hosted.rs
@@ -8,17 +8,20 @@
 
 use metrics::counter;
 use poplartrail_core::{
-    call::{Answer, Context, Payload, RequestId},
+    call::{Context, Payload, RequestId},
     engine::{CallKey, UpstreamFault},
     names::InstanceName,
 };
 use poplartrail_http::{
     ByteBudget,
-    h1::{ClientConnection, ClientOptions, ExchangeError, encode_request},
+    h1::{ClientConnection, ClientOptions, ExchangeError, ResponseHead, encode_request},
 };
-use poplartrail_platform::{decode_answer, encode_dispatch, is_answer_to};
+use poplartrail_platform::{decode_answer, decode_notice, encode_dispatch, is_answer_to};
 
-use crate::{adapters::upstream::Dispatch, ports::Clock};
+use crate::{
+    adapters::upstream::{Dispatch, DispatchEnd},
+    ports::Clock,
+};
 
 /// Time limit for connecting to the upstream, which runs on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -125,25 +128,34 @@
         context: &Context,
         instance: Option<&InstanceName>,
         payload: Payload,
-    ) -> Result<Answer, UpstreamFault> {
+    ) -> DispatchEnd {
         let request_id = context.request_id;
-        let mut pooled = self.connection(request_id).await.map_err(|err| {
-            spdlog::warn!("cannot connect to the upstream: {err}", kv: { request = request_id.to_string().as_str() });
-            UpstreamFault::NotConnected
-        })?;
+        let mut pooled = match self.connection(request_id).await {
+            Ok(pooled) => pooled,
+            Err(err) => {
+                spdlog::warn!("cannot connect to the upstream: {err}", kv: { request = request_id.to_string().as_str() });
+                return UpstreamFault::NotConnected.into();
+            }
+        };
         let now = self.options.clock.now();
-        let head = encode_dispatch(now, context, instance, &payload);
-        let (method, headers) = head.ok_or(UpstreamFault::NotConnected)?;
+        let Some((method, headers)) = encode_dispatch(now, context, instance, &payload) else {
+            return UpstreamFault::NotConnected.into();
+        };
         let bytes = encode_request(&method, &payload.target, &headers, payload.body.clone());
-        let answer = pooled.connection.exchange(&method, &bytes, |head| is_answer_to(&payload, head)).await.map_err(|err| {
-            spdlog::warn!("answer of the upstream lost: {err}", kv: { request = request_id.to_string().as_str() });
-            UpstreamFault::Lost
-        })?;
+        let is_answer = |head: &ResponseHead| is_answer_to(&payload, head);
+        let answer = match pooled.connection.exchange(&method, &bytes, is_answer).await {
+            Ok(answer) => answer,
+            Err(err) => {
+                spdlog::warn!("answer of the upstream lost: {err}", kv: { request = request_id.to_string().as_str() });
+                return UpstreamFault::Lost.into();
+            }
+        };
+        let notice = decode_notice(&answer);
         let result = decode_answer(answer);
         if matches!(result, Err(UpstreamFault::Rejected)) {
             pooled.refused.push(request_id);
         }
         self.push_idle(pooled);
-        result
+        DispatchEnd { result, notice }
     }
 }
--- a/crates/poplartrail-node/src/adapters/upstream/mod.rs
+++ b/crates/poplartrail-node/src/adapters/upstream/mod.rs
@@ -5,5 +5,5 @@
 mod run;
 
 pub use hosted::HostedUpstreamOptions;
-pub(crate) use run::Dispatch;
+pub(crate) use run::{Dispatch, DispatchEnd};
 pub use run::{UpstreamOptions, run, run_hosted};
--- a/crates/poplartrail-node/src/adapters/upstream/run.rs
+++ b/crates/poplartrail-node/src/adapters/upstream/run.rs
@@ -6,6 +6,7 @@
     call::{Answer, Context, Payload},
     engine::{CallKey, Input, UpstreamFault},
     names::{InstanceName, VmName},
+    upstream::UpstreamNotice,
 };
 use poplartrail_http::build_client;
 use tokio::task::{AbortHandle, JoinSet};
@@ -36,16 +37,31 @@
     pub clock: C,
 }
 
+/// End of a call at the upstream.
+#[derive(Debug)]
+pub(crate) struct DispatchEnd {
+    /// Whole answer, or the reason why there is none.
+    pub(crate) result: Result<Answer, UpstreamFault>,
+    /// What the upstream says of itself; `None` if no answer of its own arrived.
+    pub(crate) notice: Option<UpstreamNotice>,
+}
+
+impl From<UpstreamFault> for DispatchEnd {
+    fn from(fault: UpstreamFault) -> Self {
+        Self { result: Err(fault), notice: None }
+    }
+}
+
 /// Sends calls to the upstream.
 pub(crate) trait Dispatch: Clone + Send + Sync + 'static {
-    /// Sends a call and returns its whole answer. Dropping the future cancels the call.
+    /// Sends a call and waits for its whole answer. Dropping the future cancels the call.
     fn dispatch(
         &self,
         call: CallKey,
         context: &Context,
         instance: Option<&InstanceName>,
         payload: Payload,
-    ) -> impl Future<Output = Result<Answer, UpstreamFault>> + Send;
+    ) -> impl Future<Output = DispatchEnd> + Send;
 }
 
 /// Dispatches calls to the upstream until `inbox` is closed.
@@ -81,9 +97,9 @@
             UpstreamMessage::Dispatch { call, context, instance, payload } => {
                 let (dispatcher, decide) = (dispatcher.clone(), decide.clone());
                 tasks.spawn(call, async move {
-                    let answer = dispatcher.dispatch(call, &context, instance.as_ref(), payload);
-                    let result = answer.await;
-                    let input = Input::UpstreamDone { call, result };
+                    let end = dispatcher.dispatch(call, &context, instance.as_ref(), payload);
+                    let DispatchEnd { result, notice } = end.await;
+                    let input = Input::UpstreamDone { call, result, notice };
                     decide.send(DecideMessage::Input(input)).await;
                 });
             }
--- a/crates/poplartrail-node/src/decide/output_rings.rs
+++ b/crates/poplartrail-node/src/decide/output_rings.rs
@@ -56,6 +56,7 @@
                 is_full.then_some(Input::UpstreamDone {
                     call,
                     result: Err(UpstreamFault::NotConnected),
+                    notice: None,
                 })
             }
             Output::Send(send) => {
--- a/scripts/check-names.sh
+++ b/scripts/check-names.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")/.."
 
 names='x-request-id|x-deadline-ms|x-server-signature|x-target-instance|x-not-executed'
+names+='|server-limit|server-leaving|store-era'
 names+='|x-caller-service|x-instance-id|x-server-load|/-/ready|/-/instances|/-/log-|keyed\.(op|members|servers)'
 names+='|virtual-hosts|path-prefix|traffic-split|target-latency-ms|heartbeat-addr|cold-left-ms|read_only|non_idempotent'
 
