Test that a limit which an instance names holds for all nodes together

The stand-in instance can say something of itself in all answers, and records when each request arrives and from which service.

--- a/crates/poplartrail-core/tests/hosted/mod.rs
+++ b/crates/poplartrail-core/tests/hosted/mod.rs
@@ -9,8 +9,9 @@
     call::{Answer, Idempotency, Outcome, Payload, Refusal, RequestId, RetryBudget, Share},
     config::{Document, DocumentCheck, DocumentId},
     engine::{
-        Arrival, CallOptions, ClusterState, Input, Mechanisms, Node, NodeOptions, Origin, Output,
-        PeerCall, PeerFault, PeerOutcome, PolicySource, ReplyHandle, ReplyPort, UnroutedRequest,
+        Arrival, CallKey, CallOptions, ClusterState, Input, Mechanisms, Node, NodeOptions, Origin,
+        Output, PeerCall, PeerFault, PeerOutcome, PolicySource, ReplyHandle, ReplyPort,
+        UnroutedRequest,
     },
     keys::LeaseTerms,
     member::{Member, MemberRecord, MemberState},
@@ -171,6 +172,16 @@
     /// Passes a heartbeat in state `Ready` of the upstream that started at `started_at`, and
     /// returns the outputs.
     pub(crate) fn send_heartbeat(&mut self, started_at: WallTime, slots: usize) -> Vec<Output> {
+        self.send_heartbeat_at(NOW, started_at, slots)
+    }
+
+    /// Passes a heartbeat in state `Ready` at `now`.
+    pub(crate) fn send_heartbeat_at(
+        &mut self,
+        now: Time,
+        started_at: WallTime,
+        slots: usize,
+    ) -> Vec<Output> {
         let heartbeat = Heartbeat {
             instance: InstanceName::new("i-1").unwrap(),
             started_at,
@@ -182,7 +193,7 @@
             warmup_remaining: Duration::ZERO,
         };
         let mut out = Vec::new();
-        self.node.handle_heartbeat(NOW, WALL, &heartbeat, &mut out).unwrap();
+        self.node.handle_heartbeat(now, WALL, &heartbeat, &mut out).unwrap();
         out
     }
 
@@ -208,8 +219,23 @@
 
     /// Passes a call of another node for the local upstream.
     pub(crate) fn receive_call(&mut self, deadline: Time) -> Vec<Output> {
+        self.receive_call_at(NOW, deadline)
+    }
+
+    /// Passes a call of another node for the local upstream at `now`.
+    pub(crate) fn receive_call_at(&mut self, now: Time, deadline: Time) -> Vec<Output> {
         self.next_id += 1;
-        self.handle(Input::CallArrived(Arrival {
+        let arrival = self.arrival(deadline);
+        self.handle_at(now, Input::CallArrived(arrival))
+    }
+
+    /// Passes a wake-up if the node has asked for one until `now`.
+    pub(crate) fn wake_at(&mut self, now: Time) -> Vec<Output> {
+        if self.node.next_wake() <= now { self.handle_at(now, Input::Wake) } else { Vec::new() }
+    }
+
+    fn arrival(&self, deadline: Time) -> Arrival {
+        Arrival {
             reply_to: ReplyHandle { port: ReplyPort::Peers, id: self.next_id },
             origin: Origin::Peer {
                 budget: RetryBudget::default(),
@@ -223,7 +249,7 @@
             deadline: Some(deadline),
             idempotency: Idempotency::AtMostOnce,
             payload: Payload::default(),
-        }))
+        }
     }
 
     /// Passes a request for `path` from a caller.
@@ -291,6 +317,15 @@
     })
 }
 
+/// Returns the calls that are dispatched to the local upstream.
+pub(crate) fn dispatched_in(out: &[Output]) -> Vec<CallKey> {
+    let calls = out.iter().filter_map(|output| match output {
+        Output::Dispatch { call, .. } => Some(*call),
+        _ => None,
+    });
+    calls.collect()
+}
+
 /// Returns the member record that the node appends, if there is one.
 pub(crate) fn record_in(out: &[Output]) -> Option<MemberRecord> {
     out.iter().find_map(|output| match output {
--- a/crates/poplartrail-stand/src/hosted/instance.rs
+++ b/crates/poplartrail-stand/src/hosted/instance.rs
@@ -8,7 +8,7 @@
         atomic::{AtomicUsize, Ordering},
     },
     thread::sleep,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use poplartrail_http::h1::RequestHead;
@@ -55,6 +55,18 @@
     completed: Arc<AtomicUsize>,
     /// Largest number of bytes that one answer without end has reached.
     longest_answer: Arc<AtomicUsize>,
+    /// Header lines that every answer has, each with its line end.
+    notice: Arc<Mutex<String>>,
+    arrivals: Arc<Mutex<Vec<InstanceArrival>>>,
+}
+
+/// Arrival of a request at an instance, whether it was run or not.
+#[derive(Debug, Clone)]
+pub struct InstanceArrival {
+    /// Time of the arrival.
+    pub at: Instant,
+    /// Service on the VM where the request began.
+    pub caller: String,
 }
 
 impl StandInstance {
@@ -67,6 +79,8 @@
             refused: Arc::default(),
             completed: Arc::default(),
             longest_answer: Arc::default(),
+            notice: Arc::default(),
+            arrivals: Arc::default(),
         };
         let server = instance.clone();
         serve_connections(instance.addr, move |connection| server.serve(connection));
@@ -113,6 +127,20 @@
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).values().map(Vec::len).sum()
     }
 
+    /// Sets what all further answers say of the instance: header lines, each with its line end.
+    pub fn set_notice(&self, lines: &str) {
+        *self.notice.lock().unwrap_or_else(PoisonError::into_inner) = lines.to_owned();
+    }
+
+    /// Returns the requests that have arrived, those with status 421 excluded.
+    pub fn arrivals(&self) -> Vec<InstanceArrival> {
+        self.arrivals.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn notice(&self) -> String {
+        self.notice.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     fn serve(&self, mut connection: ServerConnection) {
         let mut refusal: Option<Vec<u8>> = None;
         while let Some((head, _body)) = connection.next_request() {
@@ -143,11 +171,15 @@
             connection.write(&response(421, &format!("x-request-id: {id}\r\n"), b""));
             return true;
         }
+        let caller = field("x-caller-service").unwrap_or_default().to_owned();
+        let arrival = InstanceArrival { at: Instant::now(), caller };
+        self.arrivals.lock().unwrap_or_else(PoisonError::into_inner).push(arrival);
+        let notice = self.notice();
         let path = head.target.split('?').next().unwrap_or_default();
         let scenario = path.rsplit('/').next().unwrap_or_default();
-        let fields = format!("x-request-id: {id}\r\nx-server-signature: s.{id}\r\n");
+        let fields = format!("x-request-id: {id}\r\nx-server-signature: s.{id}\r\n{notice}");
         if scenario == "full" {
-            let fields = format!("x-request-id: {id}\r\nx-not-executed: 1\r\n");
+            let fields = format!("x-request-id: {id}\r\nx-not-executed: 1\r\n{notice}");
             connection.write(&response(503, &fields, b""));
             return true;
         }
--- a/crates/poplartrail-stand/src/hosted/mod.rs
+++ b/crates/poplartrail-stand/src/hosted/mod.rs
@@ -7,6 +7,6 @@
 mod wire;
 
 pub use caller::{HostedCaller, HostedReply};
-pub use instance::StandInstance;
+pub use instance::{InstanceArrival, StandInstance};
 pub use node::HostedNode;
 pub use store::StandStore;
