Pace the calls to an upstream by the limit that it names

Cause: no node read the limit; the gate knew only slots. Class of fault: what an upstream says of itself in an answer is dropped at the border. Ruled out: a limit for each node (the sum did not fall at all at 8 s) and a limit that gets lost on the way (there was no line of code that could have lost it).

The node beside the instance is its only way in, so it alone applies the limit, for all nodes together: the gate dispatches by a token bucket (CallPacer), and what is over waits up to its usual bound, then goes to another instance with room, else is refused with the time until the next calls may pass as Retry-After. A gate without tokens reports itself as full.

The next process of that node has heard nothing. So the limit travels back with each reply (UpstreamTerms), and the nodes that have heard of it state it with their calls, which bring it to the new process before the first of them is dispatched. What the upstream says to the process itself goes before that.

--- a/crates/poplartrail-core/src/engine/calls.rs
+++ b/crates/poplartrail-core/src/engine/calls.rs
@@ -20,6 +20,7 @@
     retry::{RetryBudgetCache, ServiceTokens},
     route::{InstanceKey, Router},
     time::{Time, WallTime},
+    upstream::{CallLimit, UpstreamIncarnation},
 };
 
 /// Maximum number of requests for which a node remembers the retry budget between repeats.
@@ -90,6 +91,10 @@
     pub(crate) upstream_refusal: Option<Refusal>,
     /// Instance that calls are dispatched to; `None` until the upstream has stated its name.
     pub(crate) upstream_instance: Option<InstanceName>,
+    /// Incarnation of the local upstream that calls are dispatched to; `None` before the first.
+    pub(crate) upstream_incarnation: Option<UpstreamIncarnation>,
+    /// Limit on the rate of calls that this incarnation names.
+    pub(crate) call_limit: CallLimit,
     callees: Vec<Callee>,
     new_callees: Vec<ServiceName>,
     callee_shares: Vec<(Time, Share)>,
@@ -124,6 +129,8 @@
             upstream_down_until: Time::ZERO,
             upstream_refusal: None,
             upstream_instance: None,
+            upstream_incarnation: None,
+            call_limit: CallLimit::default(),
             callees: Vec::new(),
             new_callees: Vec::new(),
             callee_shares: Vec::new(),
@@ -207,19 +214,30 @@
     /// Returns the earliest time at which [`Calls::wake`] has something to do.
     pub(crate) fn next_wake(&self) -> Time {
         let interval = self.interval_started_at + self.policy.bounds.interval;
-        self.timers.next().map_or(interval, |timer| timer.min(interval))
+        let others = [self.timers.next(), self.gate.next_dispatch_at()];
+        others.into_iter().flatten().fold(interval, Time::min)
     }
 
-    /// Ends the calls whose deadline has passed, and the gate's interval when it is over.
+    /// Ends the calls whose deadline has passed, dispatches those that waited for the rate of calls,
+    /// and ends the gate's interval when it is over.
     pub(crate) fn wake(&mut self, cx: &mut DecisionContext<'_>) {
         while let Some(key) = self.timers.pop_due(cx.now) {
             self.expire(cx, key);
         }
+        if self.gate.next_dispatch_at().is_some_and(|at| at <= cx.now) {
+            self.dispatch_due(cx);
+        }
         if cx.now >= self.interval_started_at + self.policy.bounds.interval {
             self.end_interval(cx);
         }
     }
 
+    pub(crate) fn dispatch_due(&mut self, cx: &mut DecisionContext<'_>) {
+        let mut decisions = Vec::new();
+        self.gate.poll(cx.now, &mut decisions);
+        self.apply_gate_decisions(cx, decisions);
+    }
+
     pub(crate) fn end_interval(&mut self, cx: &mut DecisionContext<'_>) {
         self.interval_started_at = cx.now;
         let before: Vec<Share> = self.local_shares();
--- a/crates/poplartrail-core/src/engine/ending.rs
+++ b/crates/poplartrail-core/src/engine/ending.rs
@@ -23,8 +23,9 @@
 /// zones, and a scheduling delay on a busy processor at both ends.
 const REFUSAL_TRANSIT_TIME: Duration = Duration::from_millis(20);
 
-/// Smallest load that a gate reports while its upstream turns calls away, in units of 1/1024 of its
-/// limit. As reported loads age, the instance counts as full for a second after each report.
+/// Smallest load that a gate reports while its upstream turns calls away or has got all the calls
+/// that it takes at present, in units of 1/1024 of its limit. As reported loads age, the instance
+/// counts as full for a second after each report.
 const SHEDDING_LOAD: u16 = 2 * 1024;
 
 /// Returns the calls at a gate in units of 1/1024 of its limit.
@@ -139,10 +140,13 @@
     }
 
     /// Returns the load that the node reports, in units of 1/1024 of the gate's limit. An upstream
-    /// that turns calls away counts as full.
+    /// that turns calls away, or takes no more of them at present, counts as full.
     pub(crate) fn load(&self, now: Time) -> u16 {
         let load = gate_load(self.gate.in_flight(), self.gate.queued(), self.gate.limit());
-        if self.rejections.is_shedding(now) { load.max(SHEDDING_LOAD) } else { load }
+        match self.gate.used_rate(now) {
+            Some(used) if !self.rejections.is_shedding(now) => load.max((used * 1024.0) as u16),
+            _ => load.max(SHEDDING_LOAD),
+        }
     }
 
     /// Returns the state of the gate, which travels back with a reply.
@@ -164,6 +168,7 @@
             is_draining: self.is_draining(cx),
             unspent_retries,
             config_version: cx.cluster.config_version(),
+            terms: self.upstream_terms(cx.now),
         }
     }
 
--- a/crates/poplartrail-core/src/engine/event.rs
+++ b/crates/poplartrail-core/src/engine/event.rs
@@ -97,6 +97,17 @@
         /// Rate from now on; `None` if there is no limit.
         to: Option<CallRate>,
     },
+    /// A call is refused because the local upstream has got all the calls that it takes at present.
+    CallLimitSpent {
+        /// Rate of calls that the upstream takes.
+        limit: CallRate,
+        /// Time since the upstream last named the limit.
+        age: Duration,
+        /// Whether it has named the limit to this process, and not only to other nodes.
+        is_own: bool,
+        /// Number of calls that wait for the next ones which it takes.
+        queued: usize,
+    },
     /// An answer of the local upstream states that it is about to exit.
     LeavingAnswered {
         /// Name of the instance.
@@ -184,7 +195,13 @@
     /// Whether the event explains no failed request by itself, so that a full log may drop it
     /// before others.
     pub fn is_minor(&self) -> bool {
-        matches!(self, EventKind::CallerLeft | EventKind::Rerouted { .. } | EventKind::Late { .. })
+        matches!(
+            self,
+            EventKind::CallerLeft
+                | EventKind::Rerouted { .. }
+                | EventKind::Late { .. }
+                | EventKind::CallLimitSpent { .. }
+        )
     }
 
     /// Static name of the kind in logs, metrics and filters.
@@ -196,7 +213,7 @@
             EventKind::UpstreamChanged { .. }
             | EventKind::UpstreamRestored { .. }
             | EventKind::LeavingAnswered { .. } => "upstream",
-            EventKind::CallLimitNamed { .. } => "named-limit",
+            EventKind::CallLimitNamed { .. } | EventKind::CallLimitSpent { .. } => "named-limit",
             EventKind::SiteDocumentRefused { .. } => "site-refused",
             EventKind::OutcomeUnknown { .. } => "in-doubt",
             EventKind::Late { .. } => "late",
@@ -246,6 +263,14 @@
                 f.write_str(" -> ")?;
                 write_rate(f, *to)
             }
+            EventKind::CallLimitSpent { limit, age, is_own, queued } => {
+                let source = if *is_own { "an answer" } else { "another node" };
+                let age_ms = age.as_millis();
+                write!(
+                    f,
+                    "limit of {limit} spent, known from {source} {age_ms} ms ago, {queued} calls queued"
+                )
+            }
             EventKind::LeavingAnswered { instance } => {
                 write!(f, "upstream {instance} states in an answer that it is leaving")
             }
--- a/crates/poplartrail-core/src/engine/hosted_calls.rs
+++ b/crates/poplartrail-core/src/engine/hosted_calls.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use crate::{
-    call::{Arrived, Call, Refusal, ShedPosition},
+    call::{Admitted, Arrived, Call, Refusal, ShedPosition},
     engine::{CallKey, Calls, EventKind, Output, active_call::Stage, calls::DecisionContext},
     gate::{FixedLimit, Limiter},
     names::InstanceName,
     policy::RankIndex,
     time::Time,
+    upstream::{CallLimit, UpstreamIncarnation, UpstreamTerms},
 };
 
 /// Maximum difference between the deadline of a call and that of the call it is made for: each hop
@@ -52,6 +53,36 @@
         }
     }
 
+    /// Begins to dispatch to `incarnation`, which has not named a limit yet.
+    pub(crate) fn begin_incarnation(&mut self, now: Time, incarnation: UpstreamIncarnation) {
+        self.upstream_incarnation = Some(incarnation);
+        self.call_limit = CallLimit::default();
+        self.gate.set_call_rate(now, None);
+    }
+
+    /// Returns the terms of the local upstream; `None` if it names no limit.
+    pub(crate) fn upstream_terms(&self, now: Time) -> Option<UpstreamTerms> {
+        let limit = Some(self.call_limit.rate()?);
+        let incarnation = self.upstream_incarnation.clone()?;
+        Some(UpstreamTerms { incarnation, limit, age: self.call_limit.age(now) })
+    }
+
+    /// Records that a call is refused because the upstream has got all the calls that it takes.
+    pub(crate) fn record_spent_limit(&self, cx: &mut DecisionContext<'_>, call: &Call<Admitted>) {
+        let Some(limit) = self.call_limit.rate() else { return };
+        if self.gate.used_rate(cx.now).is_some() {
+            return;
+        }
+        let kind = EventKind::CallLimitSpent {
+            limit,
+            age: self.call_limit.age(cx.now),
+            is_own: self.call_limit.is_own(),
+            queued: self.gate.queued(),
+        };
+        let (request_id, rank) = (call.context().request_id, call.context().rank.clone());
+        cx.record_event(Some(request_id), Some(rank), kind);
+    }
+
     /// Requests probes of the instances to which no connection could be opened.
     pub(crate) fn probe_unreachable(&mut self, cx: &mut DecisionContext<'_>) {
         for (vm, addr) in self.router.poll_due_probes(cx.now) {
--- a/crates/poplartrail-core/src/engine/input.rs
+++ b/crates/poplartrail-core/src/engine/input.rs
@@ -15,7 +15,7 @@
     names::{RankName, ServiceName, VmName},
     route::GateReport,
     time::{Time, WallTime},
-    upstream::UpstreamNotice,
+    upstream::{UpstreamNotice, UpstreamTerms},
 };
 
 /// Adapter that waits for a reply.
@@ -68,6 +68,8 @@
         admitted_share: Share,
         /// Service of the VM where the call began; `None` if the sender states none.
         caller: Option<ServiceName>,
+        /// What the sender has heard of the upstream; `None` if it knows of no limit.
+        terms: Option<UpstreamTerms>,
     },
 }
 
--- a/crates/poplartrail-core/src/engine/node.rs
+++ b/crates/poplartrail-core/src/engine/node.rs
@@ -5,7 +5,7 @@
 use crate::{
     engine::{
         Calls, ClusterState, ConfigSource, Event, EventKind, Input, InstanceStatus, LogBatch,
-        NodeOptions, NodePhase, NodeStatus, Output, Phase, PolicySource, RankStatus,
+        NodeOptions, NodePhase, NodeStatus, Origin, Output, Phase, PolicySource, RankStatus,
         calls::DecisionContext, config_check::ConfigCheck, restore::is_plausible,
         routing::HostedState,
     },
@@ -62,6 +62,9 @@
     pub fn handle(&mut self, now: Time, wall: WallTime, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::CallArrived(arrival) => {
+                if let Origin::Peer { terms: Some(terms), .. } = &arrival.origin {
+                    self.adopt_terms(now, wall, terms, out);
+                }
                 self.with_calls(now, wall, out, |calls, cx| calls.handle_arrival(cx, arrival));
             }
             Input::RequestArrived(request) => self.route_request(now, wall, out, request),
@@ -74,7 +77,7 @@
             }
             Input::UpstreamDone { call, result, notice } => {
                 if let Some(notice) = notice {
-                    self.observe_notice(now, call, notice, out);
+                    self.observe_notice(now, wall, call, notice, out);
                 }
                 self.with_calls(now, wall, out, |calls, cx| {
                     calls.handle_upstream_result(cx, call, result);
@@ -198,7 +201,7 @@
             phase: self.phase.label(),
             config_version: self.cluster.config_version(),
             concurrency_limit: calls.gate().limit(),
-            named_limit: self.hosted.as_ref().and_then(|hosted| hosted.call_limit.rate()),
+            named_limit: calls.call_limit.rate(),
             in_flight: calls.gate().in_flight(),
             queued: calls.gate().queued(),
             key_slots: self.cluster.key_slots_held(),
--- a/crates/poplartrail-core/src/engine/notices.rs
+++ b/crates/poplartrail-core/src/engine/notices.rs
@@ -1,9 +1,10 @@
-//! What a hosted node learns from the answers of its upstream besides their content.
+//! What a hosted node learns of its upstream besides the content of its answers: from the answers
+//! themselves, and from the calls of other nodes.
 
 use crate::{
     engine::{CallKey, Event, EventKind, Node, Output},
-    time::Time,
-    upstream::UpstreamNotice,
+    time::{Time, WallTime},
+    upstream::{CallRate, UpstreamNotice, UpstreamTerms},
 };
 
 impl Node {
@@ -11,6 +12,7 @@
     pub(super) fn observe_notice(
         &mut self,
         now: Time,
+        wall: WallTime,
         call: CallKey,
         notice: UpstreamNotice,
         out: &mut Vec<Output>,
@@ -21,24 +23,55 @@
         if dispatched_at.is_some_and(|at| at < hosted.registered_at) {
             return;
         }
-        let Some(instance) = hosted.upstream.incarnation().map(|known| known.instance.clone())
-        else {
-            return;
-        };
-        let from = hosted.call_limit.rate();
+        if notice.is_leaving
+            && !std::mem::replace(&mut hosted.has_stated_leaving, true)
+            && let Some(upstream) = hosted.upstream.incarnation()
+        {
+            let kind = EventKind::LeavingAnswered { instance: upstream.instance.clone() };
+            out.push(Output::RecordEvent(Event { request_id: None, rank: None, kind }));
+        }
         // Of a call that has been given up it is not known when it was dispatched.
         let dispatched_at = dispatched_at.unwrap_or(Time::ZERO);
-        if hosted.call_limit.observe(now, dispatched_at, notice.limit) {
-            let kind = EventKind::CallLimitNamed {
-                instance: instance.clone(),
-                from,
-                to: hosted.call_limit.rate(),
-            };
-            out.push(Output::RecordEvent(Event { request_id: None, rank: None, kind }));
+        let from = self.calls.call_limit.rate();
+        if self.calls.call_limit.observe(now, dispatched_at, notice.limit) {
+            self.apply_call_limit(now, wall, from, out);
         }
-        if notice.is_leaving && !std::mem::replace(&mut hosted.has_stated_leaving, true) {
-            let kind = EventKind::LeavingAnswered { instance };
+    }
+
+    /// Applies what another node has heard of the upstream. An earlier process of this node may have
+    /// told it.
+    pub(super) fn adopt_terms(
+        &mut self,
+        now: Time,
+        wall: WallTime,
+        terms: &UpstreamTerms,
+        out: &mut Vec<Output>,
+    ) {
+        if self.calls.upstream_incarnation.as_ref() != Some(&terms.incarnation) {
+            return;
+        }
+        let from = self.calls.call_limit.rate();
+        if let Some(limit) = terms.limit
+            && self.calls.call_limit.adopt(now - terms.age, limit)
+        {
+            self.apply_call_limit(now, wall, from, out);
+        }
+    }
+
+    /// Paces the calls by the limit that has changed from `from`.
+    fn apply_call_limit(
+        &mut self,
+        now: Time,
+        wall: WallTime,
+        from: Option<CallRate>,
+        out: &mut Vec<Output>,
+    ) {
+        let to = self.calls.call_limit.rate();
+        self.calls.gate.set_call_rate(now, to);
+        if let Some(upstream) = &self.calls.upstream_incarnation {
+            let kind = EventKind::CallLimitNamed { instance: upstream.instance.clone(), from, to };
             out.push(Output::RecordEvent(Event { request_id: None, rank: None, kind }));
         }
+        self.with_calls(now, wall, out, |calls, cx| calls.dispatch_due(cx));
     }
 }
--- a/crates/poplartrail-core/src/engine/peer_call.rs
+++ b/crates/poplartrail-core/src/engine/peer_call.rs
@@ -6,6 +6,7 @@
     call::{Context, Payload, RetryBudget, Share},
     engine::{Arrival, CallKey, Origin, ReplyHandle},
     names::{ServiceName, VmName},
+    upstream::UpstreamTerms,
 };
 
 /// One attempt to run a call on another node.
@@ -27,6 +28,8 @@
     pub budget: RetryBudget,
     /// Smallest share of the rank that gates on the path have admitted so far.
     pub admitted_share: Share,
+    /// What this node has heard of the other node's upstream; `None` if it knows of no limit.
+    pub terms: Option<UpstreamTerms>,
     /// Method, target, header fields and body.
     pub payload: Payload,
 }
@@ -34,7 +37,7 @@
 impl PeerCall {
     /// Converts the call to its arrival at the other node, assuming that both have the same clock.
     pub fn into_arrival(self, reply_to: ReplyHandle) -> Arrival {
-        let Self { context, budget, admitted_share, .. } = self;
+        let Self { context, budget, admitted_share, terms, .. } = self;
         Arrival {
             reply_to,
             origin: Origin::Peer {
@@ -42,6 +45,7 @@
                 depth: context.depth,
                 admitted_share,
                 caller: context.caller,
+                terms,
             },
             service: self.service,
             request_id: context.request_id,
--- a/crates/poplartrail-core/src/engine/refusals.rs
+++ b/crates/poplartrail-core/src/engine/refusals.rs
@@ -11,6 +11,9 @@
 
 /// Retry delay after a refusal for overload, and upper bound of the delay computed from the queue.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Upper bound of the delay computed from a limit that the upstream names, which may be a call in
+/// many seconds.
+const PACED_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// Retry delay after other temporary refusals, and lower bound of the delay computed from the
 /// queue.
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -79,11 +82,9 @@
             Refusal::Unfinishable => Some(OVERLOAD_RETRY_AFTER),
             Refusal::Overload | Refusal::QueueFull | Refusal::TooLate if self.is_hosted => {
                 let lowest_rank = RankIndex(self.policy.ranks.len() as u8 - 1);
-                Some(
-                    self.gate
-                        .expected_wait(lowest_rank)
-                        .clamp(SHORT_RETRY_AFTER, OVERLOAD_RETRY_AFTER),
-                )
+                let is_paced = self.call_limit.rate().is_some();
+                let max = if is_paced { PACED_RETRY_AFTER } else { OVERLOAD_RETRY_AFTER };
+                Some(self.gate.expected_wait(lowest_rank).clamp(SHORT_RETRY_AFTER, max))
             }
             reason => default_retry_after(reason),
         }
--- a/crates/poplartrail-core/src/engine/returns.rs
+++ b/crates/poplartrail-core/src/engine/returns.rs
@@ -50,6 +50,9 @@
 
     fn refuse_queued(&mut self, cx: &mut DecisionContext<'_>, key: CallKey, reason: Refusal) {
         let Some(call) = self.dequeue(key) else { return };
+        if reason == Refusal::QueueFull {
+            self.record_spent_limit(cx, &call);
+        }
         if let Idempotency::Keyed(idempotency_key) = call.context().idempotency {
             self.cancel_key(idempotency_key);
         }
@@ -241,6 +244,9 @@
         }
         match outcome {
             PeerOutcome::Answered(answer) => {
+                if let Some(instance) = instance.filter(|_| report.terms.is_none()) {
+                    self.router.clear_limit(instance);
+                }
                 let outcome = call.answer(answer);
                 self.finish(cx, key, outcome);
             }
--- a/crates/poplartrail-core/src/engine/routing.rs
+++ b/crates/poplartrail-core/src/engine/routing.rs
@@ -16,9 +16,7 @@
     route::{Instance, InstanceState},
     site::{NestedRoutes, RankTable, SiteConfig, TrafficSplits},
     time::{Time, WallTime},
-    upstream::{
-        CallLimit, Deregistration, Heartbeat, HeartbeatError, UpstreamChange, UpstreamState,
-    },
+    upstream::{Deregistration, Heartbeat, HeartbeatError, UpstreamChange, UpstreamState},
 };
 
 /// State of a hosted node: the site's configuration, its routes and the local upstream.
@@ -27,8 +25,6 @@
     /// Address of the local upstream; a heartbeat that states another one is refused.
     upstream_addr: SocketAddr,
     pub(super) upstream: UpstreamState,
-    /// Limit that the registered upstream names in its answers.
-    pub(super) call_limit: CallLimit,
     /// Whether the registered upstream has stated in an answer that it is leaving.
     pub(super) has_stated_leaving: bool,
     /// Time at which the registered upstream began to serve.
@@ -46,7 +42,6 @@
         Self {
             upstream_addr,
             upstream: UpstreamState::default(),
-            call_limit: CallLimit::default(),
             has_stated_leaving: false,
             registered_at: Time::ZERO,
             announcement: Announcement::default(),
@@ -269,11 +264,12 @@
     fn open_upstream(&mut self, now: Time, wall: WallTime, out: &mut Vec<Output>) {
         let Some(hosted) = &mut self.hosted else { return };
         let Some(ready) = hosted.upstream.ready() else { return };
-        hosted.call_limit = CallLimit::default();
+        let incarnation = ready.incarnation().clone();
         hosted.has_stated_leaving = false;
         hosted.registered_at = now;
         let (instance_name, slots, started_at) =
             (ready.instance().clone(), ready.slots(), ready.started_at());
+        self.calls.begin_incarnation(now, incarnation);
         // Other nodes see each start of the upstream as a new incarnation, also while the node
         // itself keeps running.
         self.local_member.incarnation =
--- a/crates/poplartrail-core/src/engine/sending.rs
+++ b/crates/poplartrail-core/src/engine/sending.rs
@@ -150,6 +150,7 @@
         // Calls beyond the instance's share are sent elsewhere. The instance does not see them, so
         // the call states the share that was admitted.
         let admitted = target.share(cx.now, self.active_calls[key].rank).with_slack();
+        let terms = target.terms(cx.now);
         self.router.record_sent(cx.now, instance);
         let active_call = &mut self.active_calls[key];
         active_call.attempt += 1;
@@ -169,6 +170,7 @@
             context: call.context().clone(),
             budget: active_call.carried_budget,
             admitted_share: active_call.admitted_share.min(admitted),
+            terms,
             payload: call.payload().clone(),
         }));
         active_call.stage = Stage::Forwarded(call.forward(cx.now));
--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -7,10 +7,11 @@
     engine::CallKey,
     gate::{
         Demand, LimitAlgorithm, Limiter, Permit, Sample, UpstreamOutcome, allocate_shares,
-        queue::RankQueue,
+        call_pacer::CallPacer, queue::RankQueue,
     },
     policy::{RankIndex, Ranks},
     time::Time,
+    upstream::CallRate,
 };
 
 /// Weight of the newest interval in the moving average of a rank's arrival rate.
@@ -133,6 +134,8 @@
     worths: Vec<(f64, bool)>,
     ranks: Vec<RankState>,
     queue: RankQueue,
+    /// Paces the calls while the upstream names a limit on their rate.
+    pacer: Option<CallPacer>,
     in_flight: usize,
     next_sequence: u64,
     mean_hold_secs: Option<f64>,
@@ -161,6 +164,7 @@
             worths: ranks.iter().map(|r| (r.worth, r.is_urgent)).collect(),
             ranks: vec![start; ranks.len()],
             options,
+            pacer: None,
             in_flight: 0,
             next_sequence: 0,
             mean_hold_secs: None,
@@ -180,6 +184,32 @@
         self.mean_hold_secs = None;
     }
 
+    /// Sets the rate of calls that the upstream takes; `None` for any.
+    pub fn set_call_rate(&mut self, now: Time, rate: Option<CallRate>) {
+        match (&mut self.pacer, rate) {
+            (Some(pacer), Some(rate)) => pacer.set_rate(now, rate),
+            (_, rate) => self.pacer = rate.map(|rate| CallPacer::new(now, rate)),
+        }
+    }
+
+    /// Returns the time at which a queued call that waits for the rate of calls may be dispatched.
+    pub fn next_dispatch_at(&self) -> Option<Time> {
+        let is_paced = !self.queue.is_empty() && self.in_flight < self.limit();
+        self.pacer.as_ref().filter(|_| is_paced).map(CallPacer::next_token_at)
+    }
+
+    /// Dispatches the queued calls that may be dispatched at `now`.
+    pub fn poll(&mut self, now: Time, decisions: &mut Vec<GateDecision>) {
+        self.dispatch_queued(now, decisions);
+    }
+
+    /// Returns which fraction of the calls that the rate allows at once has been used at `now`.
+    ///
+    /// Returns 0 if the upstream names no limit, and `None` if no call may be dispatched.
+    pub fn used_rate(&self, now: Time) -> Option<f64> {
+        self.pacer.as_ref().map_or(Some(0.0), |pacer| pacer.used_fraction(now))
+    }
+
     /// Sets the ranks and the queue length, and resets the shares and the measured demand.
     ///
     /// Queued calls keep their order. Calls of a rank that no longer exists are moved to the least
@@ -248,6 +278,9 @@
             decisions.push(GateDecision::Refuse(request.call, Refusal::TooLate));
             return;
         }
+        if let Some(pacer) = &mut self.pacer {
+            pacer.refill(now);
+        }
         if request.max_wait.is_some_and(|max| self.expected_wait(request.rank) > max) {
             self.shed(&request, Refusal::QueueFull, decisions);
             return;
@@ -264,12 +297,18 @@
     /// Returns the expected time until a call of `rank` that arrives now gets a permit.
     ///
     /// Permits become free at the rate of the limit divided by the mean hold time (Little's law),
-    /// and are granted to the calls queued ahead first.
+    /// and are granted to the calls queued ahead first. A rate of calls that the upstream names may
+    /// make them wait longer.
     pub fn expected_wait(&self, rank: RankIndex) -> Duration {
+        let ahead: usize = (0..=rank.0).map(|r| self.queue.len_of(RankIndex(r))).sum();
+        let paced = self.pacer.as_ref().map_or(Duration::ZERO, |pacer| pacer.wait_for(ahead + 1));
+        paced.max(self.expected_permit_wait(ahead))
+    }
+
+    fn expected_permit_wait(&self, ahead: usize) -> Duration {
         if self.in_flight < self.limit() {
             return Duration::ZERO;
         }
-        let ahead: usize = (0..=rank.0).map(|r| self.queue.len_of(RankIndex(r))).sum();
         let hold_secs = self.mean_hold_secs.unwrap_or_default();
         Duration::from_secs_f64(hold_secs * (ahead + 1) as f64 / self.limit().max(1) as f64)
     }
@@ -374,7 +413,11 @@
     }
 
     fn dispatch_queued(&mut self, now: Time, decisions: &mut Vec<GateDecision>) {
-        while self.in_flight < self.limit() {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.refill(now);
+        }
+        while self.in_flight < self.limit() && self.pacer.as_ref().is_none_or(CallPacer::has_token)
+        {
             let Some(request) = self.queue.pop() else { return };
             if self.is_too_late(now, &request) {
                 decisions.push(GateDecision::Refuse(request.call, Refusal::TooLate));
@@ -384,6 +427,9 @@
             if !self.is_urgent(request.rank) {
                 self.last_non_urgent_interval = Some(self.interval_number);
             }
+            if let Some(pacer) = &mut self.pacer {
+                pacer.take();
+            }
             self.in_flight += 1;
             let permit = Permit { sequence: self.next_sequence, in_flight: self.in_flight };
             self.next_sequence += 1;
--- a/crates/poplartrail-core/src/gate/mod.rs
+++ b/crates/poplartrail-core/src/gate/mod.rs
@@ -5,6 +5,7 @@
 //! ranks ([`Share`](crate::call::Share)).
 
 mod aimd_limit;
+mod call_pacer;
 mod fixed_limit;
 mod gate_state;
 mod goodput_controller;
--- a/crates/poplartrail-core/src/gate/queue.rs
+++ b/crates/poplartrail-core/src/gate/queue.rs
@@ -36,6 +36,10 @@
         self.len
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
     /// Enqueues `request` and returns the call that is evicted if the queue is full.
     ///
     /// Evicts the newest call of the least urgent rank, or `request` itself if no less urgent call
--- a/crates/poplartrail-core/src/route/instance.rs
+++ b/crates/poplartrail-core/src/route/instance.rs
@@ -10,6 +10,7 @@
     policy::RankIndex,
     route::{AnswerWatchdog, GateReport},
     time::Time,
+    upstream::UpstreamTerms,
 };
 
 new_key_type! {
@@ -84,6 +85,9 @@
     backoff_until: Time,
     failures: u32,
     last_answered_at: Option<Time>,
+    /// Terms of the instance's upstream, with the time of the report. They are kept when the
+    /// instance's node restarts, which has to learn them again.
+    terms: Option<(UpstreamTerms, Time)>,
 }
 
 impl Instance {
@@ -111,6 +115,7 @@
             backoff_until: Time::ZERO,
             failures: 0,
             last_answered_at: None,
+            terms: None,
         }
     }
 
@@ -207,11 +212,31 @@
         self.load = report.load;
         self.failures = 0;
         self.last_answered_at = Some(now);
+        if let Some(terms) = &report.terms {
+            self.terms = Some((terms.clone(), now));
+        }
         if report.is_draining {
             self.state = InstanceState::Draining;
         }
     }
 
+    /// Returns the terms of the instance's upstream as of `now`; `None` if no limit is known.
+    pub(crate) fn terms(&self, now: Time) -> Option<UpstreamTerms> {
+        let (terms, reported_at) = self.terms.as_ref()?;
+        let age = terms.age + now.since(*reported_at);
+        Some(UpstreamTerms { age, ..terms.clone() })
+    }
+
+    /// Takes over what is known of the upstream from the previous process of the instance's node.
+    pub(crate) fn inherit_terms(&mut self, previous: &Instance) {
+        self.terms.clone_from(&previous.terms);
+    }
+
+    /// Discards the limit of the instance's upstream, which has answered without naming one.
+    pub(crate) fn clear_limit(&mut self) {
+        self.terms = None;
+    }
+
     pub(crate) fn record_failure(&mut self, now: Time) {
         let backoff = INITIAL_BACKOFF * 2u32.saturating_pow(self.failures.min(8));
         self.failures = self.failures.saturating_add(1);
--- a/crates/poplartrail-core/src/route/report.rs
+++ b/crates/poplartrail-core/src/route/report.rs
@@ -1,6 +1,9 @@
 //! The load report that a gate sends back with every reply.
 
-use crate::call::{RetryBudget, Share};
+use crate::{
+    call::{RetryBudget, Share},
+    upstream::UpstreamTerms,
+};
 
 /// State of a gate, piggybacked on each reply to the calling node so that it needs no message of
 /// its own.
@@ -19,6 +22,8 @@
     pub unspent_retries: RetryBudget,
     /// Version of the newest configuration that the replying node has in force.
     pub config_version: u64,
+    /// Terms of the replying node's upstream; `None` if it names no limit.
+    pub terms: Option<UpstreamTerms>,
 }
 
 impl Default for GateReport {
@@ -30,6 +35,7 @@
             is_draining: false,
             unspent_retries: RetryBudget::default(),
             config_version: 0,
+            terms: None,
         }
     }
 }
--- a/crates/poplartrail-core/src/route/router.rs
+++ b/crates/poplartrail-core/src/route/router.rs
@@ -119,9 +119,9 @@
         };
         let known = &mut self.instances[key];
         if instance.incarnation > known.incarnation {
-            let outstanding = known.outstanding;
-            *known = instance;
-            known.outstanding = outstanding;
+            let previous = std::mem::replace(known, instance);
+            known.outstanding = previous.outstanding;
+            known.inherit_terms(&previous);
             self.move_to_service(service, key);
         } else if instance.incarnation == known.incarnation
             && instance.state == InstanceState::Draining
@@ -342,6 +342,13 @@
         }
     }
 
+    /// Records that the upstream of an instance has answered without naming a limit.
+    pub(crate) fn clear_limit(&mut self, key: InstanceKey) {
+        if let Some(instance) = self.instances.get_mut(key) {
+            instance.clear_limit();
+        }
+    }
+
     /// Records that a call ended without an answer; `is_failure` counts it as a failure of the
     /// instance, which then gets no calls for a backoff time.
     pub fn record_lost(&mut self, now: Time, key: InstanceKey, is_failure: bool) {
--- a/crates/poplartrail-core/src/upstream/call_limit.rs
+++ b/crates/poplartrail-core/src/upstream/call_limit.rs
@@ -1,5 +1,7 @@
 //! Limit on the rate of calls that holds for the registered upstream.
 
+use std::time::Duration;
+
 use crate::{
     time::Time,
     upstream::{CallRate, NamedLimit},
@@ -15,6 +17,8 @@
     rate: Option<CallRate>,
     /// Time at which the rate was last named, or its absence last observed.
     stated_at: Option<Time>,
+    /// Whether the upstream has stated it to this process, and not to other nodes only.
+    is_own: bool,
 }
 
 impl CallLimit {
@@ -23,9 +27,29 @@
         self.rate
     }
 
-    /// Returns the time at which the upstream last stated the limit in force.
-    pub fn stated_at(&self) -> Option<Time> {
-        self.stated_at
+    /// Returns the time since the upstream last stated the limit in force.
+    pub fn age(&self, now: Time) -> Duration {
+        self.stated_at.map_or(Duration::ZERO, |at| now.since(at))
+    }
+
+    /// Returns whether the limit is known from an answer to this process, and not only from other
+    /// nodes.
+    pub fn is_own(&self) -> bool {
+        self.is_own
+    }
+
+    /// Applies a limit that the upstream has named to another node at `stated_at`, and returns
+    /// whether the rate changed. What the upstream states to this process goes before it.
+    pub fn adopt(&mut self, stated_at: Time, rate: CallRate) -> bool {
+        let is_lower = self.rate.is_none_or(|known| rate < known);
+        let is_outdated = self
+            .stated_at
+            .is_some_and(|known| stated_at < known || (stated_at == known && !is_lower));
+        if self.is_own || is_outdated {
+            return false;
+        }
+        self.stated_at = Some(stated_at);
+        self.rate.replace(rate) != Some(rate)
     }
 
     /// Applies the limit that an answer to a call dispatched at `dispatched_at` names, and returns
@@ -41,6 +65,7 @@
             return false;
         }
         self.stated_at = Some(now);
+        self.is_own = true;
         std::mem::replace(&mut self.rate, rate) != rate
     }
 }
--- a/crates/poplartrail-core/src/upstream/mod.rs
+++ b/crates/poplartrail-core/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 mod incarnation;
 mod notice;
 mod state;
+mod terms;
 
 pub use call_limit::CallLimit;
 pub use call_rate::CallRate;
@@ -15,3 +16,4 @@
 pub use incarnation::UpstreamIncarnation;
 pub use notice::{NamedLimit, UpstreamNotice};
 pub use state::{Draining, Ready, Registration, UpstreamChange, UpstreamState};
+pub use terms::UpstreamTerms;
--- a/crates/poplartrail-core/src/upstream/state.rs
+++ b/crates/poplartrail-core/src/upstream/state.rs
@@ -40,6 +40,11 @@
 }
 
 impl<S> Registration<S> {
+    /// Returns the incarnation that is registered.
+    pub fn incarnation(&self) -> &UpstreamIncarnation {
+        &self.incarnation
+    }
+
     /// Returns the name of the instance.
     pub fn instance(&self) -> &InstanceName {
         &self.incarnation.instance
--- a/crates/poplartrail-core/tests/given_up_slot.rs
+++ b/crates/poplartrail-core/tests/given_up_slot.rs
@@ -125,6 +125,7 @@
         depth: 1,
         admitted_share: Share::FULL,
         caller: None,
+        terms: None,
     };
     match outcome_of(send_call(&mut node, origin, later_key())) {
         Outcome::Unknown(unknown) => assert_eq!(unknown.reason, UnknownReason::HomeUnreachable),
--- a/crates/poplartrail-core/tests/hosted/mod.rs
+++ b/crates/poplartrail-core/tests/hosted/mod.rs
@@ -22,7 +22,7 @@
         CallerLimits, HostRoutes, RouteRule, RouteTable, SiteConfig, SiteVersion, WeightedService,
     },
     time::{Time, WallTime},
-    upstream::{Deregistration, Heartbeat, ReportedState},
+    upstream::{CallRate, Deregistration, Heartbeat, ReportedState, UpstreamTerms},
 };
 
 /// VM of the instance in the node's availability zone.
@@ -99,6 +99,17 @@
     }
 }
 
+fn record(vm: &str, service_name: &str, zone: &str) -> MemberRecord {
+    MemberRecord {
+        member: member(vm, service_name, zone),
+        state: MemberState::Serving,
+        terms: LeaseTerms { duration: Duration::ZERO, max_skew: Duration::ZERO },
+        sent_at: Time::ZERO,
+        slot_changes: Vec::new(),
+        upstream: None,
+    }
+}
+
 fn node() -> Node {
     let rank = Rank {
         name: RankName::new("first").unwrap(),
@@ -140,15 +151,7 @@
     }
 
     fn announce(&mut self, instances: &[(&str, &str, &str)]) {
-        let terms = LeaseTerms { duration: Duration::ZERO, max_skew: Duration::ZERO };
-        let members = instances.iter().map(|(vm, service_name, zone)| MemberRecord {
-            member: member(vm, service_name, zone),
-            state: MemberState::Serving,
-            terms,
-            sent_at: Time::ZERO,
-            slot_changes: Vec::new(),
-            upstream: None,
-        });
+        let members = instances.iter().map(|(vm, service, zone)| record(vm, service, zone));
         self.handle(Input::PeerMembers(members.collect()));
     }
 
@@ -224,17 +227,39 @@
 
     /// Passes a call of another node for the local upstream at `now`.
     pub(crate) fn receive_call_at(&mut self, now: Time, deadline: Time) -> Vec<Output> {
+        self.receive_stated_call(now, deadline, None)
+    }
+
+    /// Passes a call of another node which states what that node has heard of the local upstream.
+    pub(crate) fn receive_stated_call(
+        &mut self,
+        now: Time,
+        deadline: Time,
+        terms: Option<UpstreamTerms>,
+    ) -> Vec<Output> {
         self.next_id += 1;
-        let arrival = self.arrival(deadline);
+        let arrival = self.arrival(deadline, terms);
         self.handle_at(now, Input::CallArrived(arrival))
     }
 
+    /// Passes a call whose time is over, which is refused.
+    pub(crate) fn receive_late_call(&mut self, now: Time) -> Vec<Output> {
+        let mut out = self.receive_call_at(now, now);
+        out.extend(self.handle_at(now + Duration::from_secs(1), Input::Wake));
+        out
+    }
+
+    /// Returns the limit that the local upstream names.
+    pub(crate) fn named_limit(&mut self, now: Time) -> Option<CallRate> {
+        self.node.status(now).named_limit
+    }
+
     /// Passes a wake-up if the node has asked for one until `now`.
     pub(crate) fn wake_at(&mut self, now: Time) -> Vec<Output> {
         if self.node.next_wake() <= now { self.handle_at(now, Input::Wake) } else { Vec::new() }
     }
 
-    fn arrival(&self, deadline: Time) -> Arrival {
+    fn arrival(&self, deadline: Time, terms: Option<UpstreamTerms>) -> Arrival {
         Arrival {
             reply_to: ReplyHandle { port: ReplyPort::Peers, id: self.next_id },
             origin: Origin::Peer {
@@ -242,6 +267,7 @@
                 depth: 0,
                 admitted_share: Share::FULL,
                 caller: Some(service("back")),
+                terms,
             },
             service: service("front"),
             request_id: RequestId(u128::from(self.next_id)),
@@ -278,6 +304,33 @@
         self.handle(Input::PeerDone { call: call.call, attempt: call.attempt, result })
     }
 
+    /// Answers a forwarded call, with a report of `terms`.
+    pub(crate) fn answer_with_terms(
+        &mut self,
+        call: &PeerCall,
+        terms: Option<UpstreamTerms>,
+    ) -> Vec<Output> {
+        let answer = Answer { status: 200, fields: Vec::new(), body: Bytes::new() };
+        let report = GateReport { config_version: 1, terms, ..GateReport::default() };
+        let result = Ok((PeerOutcome::Answered(answer), report));
+        self.handle(Input::PeerDone { call: call.call, attempt: call.attempt, result })
+    }
+
+    /// Passes requests for `path` until one is forwarded to `vm`, and returns its call. The others
+    /// stay in progress, which makes their instance costlier.
+    pub(crate) fn forward_to(&mut self, path: &str, vm: &VmName) -> PeerCall {
+        let calls = std::iter::repeat_with(|| self.forward(path));
+        calls.take(100).find(|call| call.vm == *vm).expect("the instance is chosen")
+    }
+
+    /// Announces a new process of the node on `vm`.
+    pub(crate) fn restart_member(&mut self, vm: &VmName) {
+        let zone = if vm.as_str() == NEAR { "zone-a" } else { "zone-b" };
+        let mut record = record(vm.as_str(), "back", zone);
+        record.member.incarnation += 1;
+        self.handle(Input::PeerMembers(vec![record]));
+    }
+
     /// Refuses a forwarded call for `reason`, with a report of `load` at the other node's gate.
     pub(crate) fn refuse(&mut self, call: &PeerCall, reason: Refusal, load: u16) -> Vec<Output> {
         let outcome =
@@ -326,6 +379,14 @@
     calls.collect()
 }
 
+/// Returns the report in the reply to another node, if there is one.
+pub(crate) fn report_in(out: &[Output]) -> Option<GateReport> {
+    out.iter().find_map(|output| match output {
+        Output::Reply { report, .. } => Some(report.clone()),
+        _ => None,
+    })
+}
+
 /// Returns the member record that the node appends, if there is one.
 pub(crate) fn record_in(out: &[Output]) -> Option<MemberRecord> {
     out.iter().find_map(|output| match output {
--- a/crates/poplartrail-wire/src/convert/call.rs
+++ b/crates/poplartrail-wire/src/convert/call.rs
@@ -20,6 +20,7 @@
         self, PeerMessage,
         member::{member_record_from_wire, member_record_to_wire},
         message::{field_len, put_field_start, put_message},
+        terms::{terms_from_wire, terms_to_wire},
     },
     generated as wire,
 };
@@ -120,6 +121,7 @@
         passed: call.admitted_share.raw(),
         key: key.unwrap_or_default().into(),
         caller: context.caller.as_ref().map(ServiceName::to_string).unwrap_or_default(),
+        terms: call.terms.as_ref().map(terms_to_wire),
         at_most_once: context.idempotency == Idempotency::AtMostOnce,
         method: payload.method.to_string(),
         target: payload.target.to_string(),
@@ -150,6 +152,7 @@
             "" => None,
             name => Some(ServiceName::new(name)?),
         },
+        terms: call.terms.as_ref().and_then(terms_from_wire),
     };
     Ok(Arrival {
         reply_to,
--- a/crates/poplartrail-wire/src/convert/member.rs
+++ b/crates/poplartrail-wire/src/convert/member.rs
@@ -39,10 +39,7 @@
         skew_ms: record.terms.max_skew.as_millis() as u32,
         sent_ns: record.sent_at.as_nanos(),
         slots: record.slot_changes.iter().map(slot_change_to_wire).collect(),
-        upstream: record.upstream.as_ref().map(|upstream| wire::Upstream {
-            instance: upstream.instance.to_string(),
-            started_ms: upstream.started_at.as_millis(),
-        }),
+        upstream: record.upstream.as_ref().map(upstream_to_wire),
     }
 }
 
@@ -74,7 +71,16 @@
     })
 }
 
-fn upstream_from_wire(upstream: &wire::Upstream) -> Result<UpstreamIncarnation, WireError> {
+pub(crate) fn upstream_to_wire(upstream: &UpstreamIncarnation) -> wire::Upstream {
+    wire::Upstream {
+        instance: upstream.instance.to_string(),
+        started_ms: upstream.started_at.as_millis(),
+    }
+}
+
+pub(crate) fn upstream_from_wire(
+    upstream: &wire::Upstream,
+) -> Result<UpstreamIncarnation, WireError> {
     Ok(UpstreamIncarnation {
         instance: InstanceName::new(&upstream.instance)?,
         started_at: WallTime::from_millis(upstream.started_ms),
--- a/crates/poplartrail-wire/src/convert/mod.rs
+++ b/crates/poplartrail-wire/src/convert/mod.rs
@@ -6,6 +6,7 @@
 pub mod member;
 mod message;
 pub mod reply;
+mod terms;
 
 use bytes::Buf;
 
--- a/crates/poplartrail-wire/src/convert/reply.rs
+++ b/crates/poplartrail-wire/src/convert/reply.rs
@@ -21,6 +21,7 @@
         config::{snapshot_from_wire, snapshot_to_wire},
         member::{member_record_from_wire, member_record_to_wire},
         message::{field_len, put_field_start, put_message},
+        terms::{terms_from_wire, terms_to_wire},
     },
     generated as wire,
 };
@@ -167,6 +168,7 @@
         draining: report.is_draining,
         unspent: u32::from(report.unspent_retries.remaining()),
         config: report.config_version,
+        terms: report.terms.as_ref().map(terms_to_wire),
     }
 }
 
@@ -180,5 +182,6 @@
             u8::try_from(report.unspent).map_err(|_| WireError::InvalidValue("unspent"))?,
         ),
         config_version: report.config,
+        terms: report.terms.as_ref().and_then(terms_from_wire),
     })
 }
--- a/crates/poplartrail-wire/tests/peer_messages.rs
+++ b/crates/poplartrail-wire/tests/peer_messages.rs
@@ -8,9 +8,10 @@
     call::{Answer, Call, Context, Field, Idempotency, Payload, RequestId, RetryBudget, Share},
     engine::{CallKey, Origin, PeerCall, PeerOutcome, ReplyHandle, ReplyPort},
     keys::IdempotencyKey,
-    names::{RankName, ServiceName, VmName},
+    names::{InstanceName, RankName, ServiceName, VmName},
     route::GateReport,
     time::{Time, WallTime},
+    upstream::{CallRate, UpstreamIncarnation, UpstreamTerms},
 };
 use poplartrail_wire::{
     MAX_START_BYTES, PeerMessage,
@@ -48,6 +49,17 @@
     Bytes::from(bytes)
 }
 
+fn terms(limit: Option<u32>, age_ms: u64) -> UpstreamTerms {
+    UpstreamTerms {
+        incarnation: UpstreamIncarnation {
+            instance: InstanceName::new("i-1").unwrap(),
+            started_at: WallTime::from_millis(1_800_000_000_000),
+        },
+        limit: limit.map(CallRate::from_thousandths),
+        age: Duration::from_millis(age_ms),
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 2_000,
@@ -63,6 +75,8 @@
         raw_share in 1u32..=65_536,
         random in any::<u128>(),
         key_kind in 0u8..3,
+        limit in proptest::option::of(any::<u32>()),
+        age_ms in any::<u64>(),
         body in proptest::collection::vec(any::<u8>(), 0..10_000),
     ) {
         let key = IdempotencyKey::mint(WallTime::from_millis(1_800_000_000_000), random);
@@ -82,6 +96,7 @@
             context: sent.clone(),
             budget,
             admitted_share,
+            terms: Some(terms(limit, age_ms)),
             payload: payload.clone(),
         };
         let message = encode_call(&from, now, &peer_call);
@@ -92,7 +107,14 @@
         // The clocks of sender and receiver are unrelated: only the time left may travel.
         let (receiver_now, reply_to) = (Time::from_millis(77), ReplyHandle { port: ReplyPort::Peers, id: 5 });
         let decoded = decode_call(*call, reply_to, receiver_now).expect("an encoded call can be decoded");
-        prop_assert_eq!(decoded.origin, Origin::Peer { budget, depth: 21, admitted_share, caller: sent.caller });
+        let origin = Origin::Peer {
+            budget,
+            depth: 21,
+            admitted_share,
+            caller: sent.caller,
+            terms: Some(terms(limit, age_ms)),
+        };
+        prop_assert_eq!(decoded.origin, origin);
         prop_assert_eq!(decoded.service, service);
         prop_assert_eq!(decoded.request_id, sent.request_id);
         prop_assert_eq!(decoded.rank, Some(sent.rank));
@@ -107,6 +129,7 @@
         raw_shares in proptest::collection::vec(0u32..=65_536, 0..16),
         load in any::<u16>(),
         config_version in any::<u64>(),
+        limit in proptest::option::of(any::<u32>()),
         body in proptest::collection::vec(any::<u8>(), 0..10_000),
     ) {
         let answer = Answer { status, fields: Vec::new(), body: Bytes::from(body) };
@@ -118,6 +141,7 @@
             shares: raw_shares.iter().map(|raw| Share::from_raw(*raw)).collect(),
             load,
             config_version,
+            terms: limit.map(|limit| terms(Some(limit), 20)),
             ..GateReport::default()
         };
         let message = encode_call_reply(&call.answer(answer.clone()), &report);
