End new calls to an upstream whose answer says that it is leaving

Cause: as with the limit, what the upstream says of itself in an answer was dropped at the border; only its heartbeats counted. Ruled out: heartbeats alone suffice (an instance whose heartbeat is late or lost says it in answers first).

An answer with that statement drains the registered incarnation like a heartbeat in state draining: the gate closes, queued calls go elsewhere, the state is announced in the store, and the reply that brings the answer tells the caller's node. Nodes that have passed on such an answer state it with their calls (UpstreamTerms), so that the next process of the node beside the instance knows it before the first of them, also if the store holds no record. It is never withdrawn for that incarnation.

--- a/crates/poplartrail-core/src/engine/hosted_calls.rs
+++ b/crates/poplartrail-core/src/engine/hosted_calls.rs
@@ -60,11 +60,15 @@
         self.gate.set_call_rate(now, None);
     }
 
-    /// Returns the terms of the local upstream; `None` if it names no limit.
+    /// Returns the terms of the local upstream; `None` if it names no limit and does not leave.
     pub(crate) fn upstream_terms(&self, now: Time) -> Option<UpstreamTerms> {
-        let limit = Some(self.call_limit.rate()?);
+        let limit = self.call_limit.rate();
+        let is_leaving = self.upstream_refusal == Some(Refusal::Draining);
+        if limit.is_none() && !is_leaving {
+            return None;
+        }
         let incarnation = self.upstream_incarnation.clone()?;
-        Some(UpstreamTerms { incarnation, limit, age: self.call_limit.age(now) })
+        Some(UpstreamTerms { incarnation, limit, age: self.call_limit.age(now), is_leaving })
     }
 
     /// Records that a call is refused because the upstream has got all the calls that it takes.
--- a/crates/poplartrail-core/src/engine/input.rs
+++ b/crates/poplartrail-core/src/engine/input.rs
@@ -68,7 +68,8 @@
         admitted_share: Share,
         /// Service of the VM where the call began; `None` if the sender states none.
         caller: Option<ServiceName>,
-        /// What the sender has heard of the upstream; `None` if it knows of no limit.
+        /// What the sender has heard of the upstream; `None` if it knows of no limit
+        /// and does not know that it leaves.
         terms: Option<UpstreamTerms>,
     },
 }
--- a/crates/poplartrail-core/src/engine/notices.rs
+++ b/crates/poplartrail-core/src/engine/notices.rs
@@ -4,7 +4,7 @@
 use crate::{
     engine::{CallKey, Event, EventKind, Node, Output},
     time::{Time, WallTime},
-    upstream::{CallRate, UpstreamNotice, UpstreamTerms},
+    upstream::{CallRate, UpstreamChange, UpstreamIncarnation, UpstreamNotice, UpstreamTerms},
 };
 
 impl Node {
@@ -18,24 +18,22 @@
         out: &mut Vec<Output>,
     ) {
         let dispatched_at = self.calls.dispatched_at(call);
-        let Some(hosted) = &mut self.hosted else { return };
+        let Some(hosted) = &self.hosted else { return };
         // An answer to a call of an earlier incarnation says nothing of the registered one.
         if dispatched_at.is_some_and(|at| at < hosted.registered_at) {
             return;
         }
-        if notice.is_leaving
-            && !std::mem::replace(&mut hosted.has_stated_leaving, true)
-            && let Some(upstream) = hosted.upstream.incarnation()
-        {
-            let kind = EventKind::LeavingAnswered { instance: upstream.instance.clone() };
-            out.push(Output::RecordEvent(Event { request_id: None, rank: None, kind }));
-        }
         // Of a call that has been given up it is not known when it was dispatched.
         let dispatched_at = dispatched_at.unwrap_or(Time::ZERO);
         let from = self.calls.call_limit.rate();
         if self.calls.call_limit.observe(now, dispatched_at, notice.limit) {
             self.apply_call_limit(now, wall, from, out);
         }
+        if notice.is_leaving
+            && let Some(incarnation) = self.calls.upstream_incarnation.clone()
+        {
+            self.apply_leaving(now, wall, &incarnation, out);
+        }
     }
 
     /// Applies what another node has heard of the upstream. An earlier process of this node may have
@@ -56,6 +54,27 @@
         {
             self.apply_call_limit(now, wall, from, out);
         }
+        if terms.is_leaving {
+            self.apply_leaving(now, wall, &terms.incarnation, out);
+        }
+    }
+
+    /// Ends new calls to `incarnation`, which has stated in an answer that it is about to exit.
+    fn apply_leaving(
+        &mut self,
+        now: Time,
+        wall: WallTime,
+        incarnation: &UpstreamIncarnation,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(hosted) = &mut self.hosted else { return };
+        let change = hosted.upstream.apply_leaving(incarnation);
+        if change == UpstreamChange::Unchanged {
+            return;
+        }
+        let kind = EventKind::LeavingAnswered { instance: incarnation.instance.clone() };
+        out.push(Output::RecordEvent(Event { request_id: None, rank: None, kind }));
+        self.handle_upstream_change(now, wall, change, out);
     }
 
     /// Paces the calls by the limit that has changed from `from`.
--- a/crates/poplartrail-core/src/engine/peer_call.rs
+++ b/crates/poplartrail-core/src/engine/peer_call.rs
@@ -28,7 +28,8 @@
     pub budget: RetryBudget,
     /// Smallest share of the rank that gates on the path have admitted so far.
     pub admitted_share: Share,
-    /// What this node has heard of the other node's upstream; `None` if it knows of no limit.
+    /// What this node has heard of the other node's upstream; `None` if it knows of no limit
+    /// and does not know that it leaves.
     pub terms: Option<UpstreamTerms>,
     /// Method, target, header fields and body.
     pub payload: Payload,
--- a/crates/poplartrail-core/src/engine/routing.rs
+++ b/crates/poplartrail-core/src/engine/routing.rs
@@ -25,8 +25,6 @@
     /// Address of the local upstream; a heartbeat that states another one is refused.
     upstream_addr: SocketAddr,
     pub(super) upstream: UpstreamState,
-    /// Whether the registered upstream has stated in an answer that it is leaving.
-    pub(super) has_stated_leaving: bool,
     /// Time at which the registered upstream began to serve.
     pub(super) registered_at: Time,
     pub(super) announcement: Announcement,
@@ -42,7 +40,6 @@
         Self {
             upstream_addr,
             upstream: UpstreamState::default(),
-            has_stated_leaving: false,
             registered_at: Time::ZERO,
             announcement: Announcement::default(),
             site: None,
@@ -254,6 +251,7 @@
             UpstreamChange::StartedServing => self.open_upstream(now, wall, out),
             UpstreamChange::StoppedServing => {
                 self.calls.set_upstream_state(Err(Refusal::Draining));
+                self.calls.upstream_incarnation = hosted.upstream.incarnation().cloned();
                 self.with_calls(now, wall, out, |calls, cx| calls.refuse_all_queued(cx));
                 self.announce_state(MemberState::Draining, out);
             }
@@ -265,7 +263,6 @@
         let Some(hosted) = &mut self.hosted else { return };
         let Some(ready) = hosted.upstream.ready() else { return };
         let incarnation = ready.incarnation().clone();
-        hosted.has_stated_leaving = false;
         hosted.registered_at = now;
         let (instance_name, slots, started_at) =
             (ready.instance().clone(), ready.slots(), ready.started_at());
--- a/crates/poplartrail-core/src/route/instance.rs
+++ b/crates/poplartrail-core/src/route/instance.rs
@@ -220,7 +220,8 @@
         }
     }
 
-    /// Returns the terms of the instance's upstream as of `now`; `None` if no limit is known.
+    /// Returns the terms of the instance's upstream as of `now`; `None` if no limit is known
+    /// and it is not known to leave.
     pub(crate) fn terms(&self, now: Time) -> Option<UpstreamTerms> {
         let (terms, reported_at) = self.terms.as_ref()?;
         let age = terms.age + now.since(*reported_at);
@@ -234,7 +235,10 @@
 
     /// Discards the limit of the instance's upstream, which has answered without naming one.
     pub(crate) fn clear_limit(&mut self) {
-        self.terms = None;
+        if let Some((terms, _)) = &mut self.terms {
+            terms.limit = None;
+        }
+        self.terms.take_if(|(terms, _)| !terms.is_leaving);
     }
 
     pub(crate) fn record_failure(&mut self, now: Time) {
--- a/crates/poplartrail-core/src/route/report.rs
+++ b/crates/poplartrail-core/src/route/report.rs
@@ -22,7 +22,8 @@
     pub unspent_retries: RetryBudget,
     /// Version of the newest configuration that the replying node has in force.
     pub config_version: u64,
-    /// Terms of the replying node's upstream; `None` if it names no limit.
+    /// Terms of the replying node's upstream; `None` if it names no limit and does not
+    /// leave.
     pub terms: Option<UpstreamTerms>,
 }
 
--- a/crates/poplartrail-core/src/upstream/state.rs
+++ b/crates/poplartrail-core/src/upstream/state.rs
@@ -4,6 +4,7 @@
 //! Absent              --heartbeat: ready-----> Registration<Ready>
 //! Absent              --heartbeat: draining--> Registration<Draining>
 //! Registration<Ready> --heartbeat: draining--> Registration<Draining>
+//! Registration<Ready> --answer: leaving------> Registration<Draining>
 //! any state           --deregistration-------> Absent
 //! Absent, or any      --restored: draining---> Registration<Draining>
 //! earlier incarnation
@@ -152,6 +153,17 @@
         if was_ready { UpstreamChange::StoppedServing } else { UpstreamChange::Unchanged }
     }
 
+    /// Applies that `incarnation` has stated in an answer that it is about to exit.
+    pub fn apply_leaving(&mut self, incarnation: &UpstreamIncarnation) -> UpstreamChange {
+        match self {
+            UpstreamState::Ready(known) if known.incarnation == *incarnation => {
+                *self = UpstreamState::Draining(known.clone().drain());
+                UpstreamChange::StoppedServing
+            }
+            _ => UpstreamChange::Unchanged,
+        }
+    }
+
     /// Returns the name of the state on status pages and in events.
     pub fn label(&self) -> &'static str {
         match self {
--- a/crates/poplartrail-core/src/upstream/terms.rs
+++ b/crates/poplartrail-core/src/upstream/terms.rs
@@ -4,7 +4,7 @@
 
 use crate::upstream::{CallRate, UpstreamIncarnation};
 
-/// Limit of one incarnation of an upstream, as a node knows it.
+/// Limit of one incarnation of an upstream and whether it leaves, as a node knows it.
 ///
 /// A node reports the terms of its upstream with its replies, and the nodes that have heard of them
 /// state them with their calls. So the next process of the first node learns them again.
@@ -16,4 +16,6 @@
     pub limit: Option<CallRate>,
     /// Time since it last named the limit.
     pub age: Duration,
+    /// Whether it is about to exit and takes no new work. This is never withdrawn.
+    pub is_leaving: bool,
 }
--- a/crates/poplartrail-core/tests/hosted/mod.rs
+++ b/crates/poplartrail-core/tests/hosted/mod.rs
@@ -379,6 +379,15 @@
     calls.collect()
 }
 
+/// Returns the reasons of the replies that refuse a call.
+pub(crate) fn refusals_in(out: &[Output]) -> Vec<Refusal> {
+    let reasons = out.iter().filter_map(|output| match output {
+        Output::Reply { outcome: Outcome::NotRun(not_run), .. } => Some(not_run.reason()),
+        _ => None,
+    });
+    reasons.collect()
+}
+
 /// Returns the report in the reply to another node, if there is one.
 pub(crate) fn report_in(out: &[Output]) -> Option<GateReport> {
     out.iter().find_map(|output| match output {
--- a/crates/poplartrail-core/tests/limit_terms.rs
+++ b/crates/poplartrail-core/tests/limit_terms.rs
@@ -30,6 +30,7 @@
         },
         limit: CallRate::from_per_second(per_second),
         age: Duration::from_millis(age_ms),
+        is_leaving: false,
     }
 }
 
--- a/crates/poplartrail-wire/src/convert/terms.rs
+++ b/crates/poplartrail-wire/src/convert/terms.rs
@@ -14,6 +14,7 @@
         upstream: Some(upstream_to_wire(&terms.incarnation)),
         limit: terms.limit.map(CallRate::thousandths),
         age_ms: terms.age.as_millis() as u64,
+        leaving: terms.is_leaving,
     }
 }
 
@@ -24,5 +25,6 @@
         incarnation: upstream_from_wire(terms.upstream.as_ref()?).ok()?,
         limit: terms.limit.map(CallRate::from_thousandths),
         age: Duration::from_millis(terms.age_ms),
+        is_leaving: terms.leaving,
     })
 }
