Read the era of the platform's store

No line told that the store had come back from a copy: a node that still finds its offset logged nothing, and one that does not logged that records were dropped, as after an expiry. So the hypotheses on a restored store could not be told apart.

The client of the store keeps the era that any response states; a reader that sees another one logs it (store-era) and counts it (poplartrail_store_restores_total, by topic). Nothing acts on it yet.

--- a/crates/poplartrail-node/src/adapters/store/follow.rs
+++ b/crates/poplartrail-node/src/adapters/store/follow.rs
@@ -74,13 +74,16 @@
         client: StoreClient::new(store),
         decide,
         next_offset: None,
+        era: None,
         is_suspect: false,
         health,
         members: HashSet::new(),
         backoff: Backoff::new(BACKOFF_RANGE.0, BACKOFF_RANGE.1),
     };
     loop {
-        match reader.read_batch().await {
+        let result = reader.read_batch().await;
+        reader.observe_era();
+        match result {
             Ok(has_records) => {
                 reader.record_success();
                 if has_records {
@@ -98,6 +101,8 @@
     decide: RingSender<DecideMessage>,
     /// Offset of the next record. `None` until the newest record of each key has been read.
     next_offset: Option<u64>,
+    /// Era of the store as of the last response; `None` if none has stated it.
+    era: Option<u64>,
     /// Whether the store has left a call unanswered since the last response. The next read is then
     /// not held by the store, so that it shows soon whether the store responds.
     is_suspect: bool,
@@ -116,6 +121,22 @@
         }
     }
 
+    /// Records the era that the last response states.
+    fn observe_era(&mut self) {
+        let era = self.client.era();
+        if let (Some(from), Some(to)) = (self.era, era)
+            && from != to
+        {
+            let topic = self.topic.name();
+            counter!("poplartrail_store_restores_total", "topic" => topic).increment(1);
+            spdlog::warn!(
+                "the store has come back from a copy (era {from} -> {to}), seen by the reader of {topic}",
+                kv: { event = "store-era", from, to }
+            );
+        }
+        self.era = era;
+    }
+
     /// Reads the next records and forwards them. Returns whether there were any.
     async fn read_batch(&mut self) -> Result<bool, StoreError> {
         match self.next_offset {
--- a/crates/poplartrail-store/src/client.rs
+++ b/crates/poplartrail-store/src/client.rs
@@ -9,7 +9,7 @@
     ByteBudget,
     h1::{ClientConnection, ClientOptions, ExchangeError, encode_request},
 };
-use poplartrail_platform::store::{KeyedRecord, StoreCall, decode_newest, newest_call};
+use poplartrail_platform::store::{KeyedRecord, StoreCall, decode_era, decode_newest, newest_call};
 use tokio::time::timeout;
 
 use crate::StoreError;
@@ -40,12 +40,20 @@
 pub struct StoreClient {
     addr: SocketAddr,
     connection: Option<ClientConnection>,
+    era: Option<u64>,
 }
 
 impl StoreClient {
     /// Creates a client of the store at `addr`; it connects with the first call.
     pub fn new(addr: SocketAddr) -> Self {
-        Self { addr, connection: None }
+        Self { addr, connection: None, era: None }
+    }
+
+    /// Returns the era of the store, as its last response that has one states it. The store enters a
+    /// new era when it comes back from a copy: what was written since the copy is gone, and offsets
+    /// are given out again.
+    pub fn era(&self) -> Option<u64> {
+        self.era
     }
 
     /// Reads the newest record of each key of `topic`; each page must arrive within `max_wait`.
@@ -116,6 +124,7 @@
         };
         let response = connection.exchange(&call.method, &bytes, |_| true).await?;
         self.connection = Some(connection);
+        self.era = decode_era(&response.headers).or(self.era);
         if response.status.is_success() {
             Ok(response.body)
         } else {
