Test a node whose store comes back from a copy

A change at an offset that is given out again is not in force after 20 s, and the node's own record, also one that an acknowledgement rests on, is not written again. Passing: an older configuration that the store holds for a moment is not taken, and an era that is no number or goes back does no harm.

The stand-in store can be copied and come back from a copy, has an era in all its answers, and answers 410 to reads from an offset that it does not have.

--- a/crates/poplartrail-stand/src/hosted/mod.rs
+++ b/crates/poplartrail-stand/src/hosted/mod.rs
@@ -9,4 +9,4 @@
 pub use caller::{HostedCaller, HostedReply};
 pub use instance::{InstanceArrival, StandInstance};
 pub use node::HostedNode;
-pub use store::StandStore;
+pub use store::{StandStore, StoreCopy};
--- a/crates/poplartrail-stand/src/hosted/store.rs
+++ b/crates/poplartrail-stand/src/hosted/store.rs
@@ -26,7 +26,7 @@
     value: Vec<u8>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Topic {
     /// Offset of the next record.
     end: u64,
@@ -49,8 +49,16 @@
     appends: u32,
     /// Reads by offset that have begun, by topic.
     reads: HashMap<String, u32>,
+    /// Times that the store has come back from a copy.
+    restores: u64,
+    /// Era that all responses state; `None` for the number of restores.
+    stated_era: Option<String>,
 }
 
+/// Copy of all topics of a [`StandStore`] at one moment.
+#[derive(Debug, Clone)]
+pub struct StoreCopy(HashMap<String, Topic>);
+
 /// A stand-in store on loopback.
 #[derive(Debug, Clone)]
 pub struct StandStore {
@@ -134,6 +142,29 @@
         self.state.1.notify_all();
     }
 
+    /// Copies all topics as they are.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().topics.clone())
+    }
+
+    /// Comes back from `copy` in a new era, and has the records of `rewritten` appended before it
+    /// serves any request: topic, key and value of each.
+    pub fn restore(&self, copy: &StoreCopy, rewritten: &[(&str, &[u8], &[u8])]) {
+        let mut state = self.lock();
+        state.topics = copy.0.clone();
+        state.restores += 1;
+        for (topic, key, value) in rewritten {
+            state.topics.entry((*topic).to_owned()).or_default().add(key, value);
+        }
+        drop(state);
+        self.state.1.notify_all();
+    }
+
+    /// Makes all responses state `era`, whatever the number of restores.
+    pub fn set_era(&self, era: &str) {
+        self.lock().stated_era = Some(era.to_owned());
+    }
+
     /// Returns the number of append requests that took effect, including those without a response.
     pub fn appends(&self) -> u32 {
         self.lock().appends
@@ -157,7 +188,7 @@
                 query.split('&').filter_map(|pair| pair.split_once('=')).collect();
             let is_topic_down = |topic: &&str| self.lock().down_topics.contains(*topic);
             if self.lock().is_down || query.get("topic").is_some_and(is_topic_down) {
-                connection.write(&response(503, "", b""));
+                connection.write(&self.with_era(&response(503, "", b"")));
                 continue;
             }
             let response = match path {
@@ -170,12 +201,21 @@
                 sleep(SILENCE_DURATION);
             }
             match response {
-                Some(response) => connection.write(&response),
+                Some(response) => connection.write(&self.with_era(&response)),
                 None => sleep(SILENCE_DURATION),
             }
         }
     }
 
+    /// Adds the era to the head of a response.
+    fn with_era(&self, response: &[u8]) -> Vec<u8> {
+        let state = self.lock();
+        let era = state.stated_era.clone().unwrap_or_else(|| state.restores.to_string());
+        let first_line = response.iter().position(|byte| *byte == b'\n').map_or(0, |at| at + 1);
+        let field = format!("store-era: {era}\r\n");
+        [&response[..first_line], field.as_bytes(), &response[first_line..]].concat()
+    }
+
     fn append(&self, query: &HashMap<&str, &str>, body: &[u8]) -> Option<Vec<u8>> {
         let delay = self.lock().append_delay;
         sleep(delay);
@@ -207,7 +247,7 @@
         *state.reads.entry(query["topic"].to_owned()).or_default() += 1;
         loop {
             let topic = state.topics.entry(query["topic"].to_owned()).or_default();
-            if from < topic.first {
+            if from < topic.first || from > topic.end {
                 let body = json!({ "first": topic.first }).to_string();
                 return Some(response(410, "", body.as_bytes()));
             }
