Read a topic anew once the store has come back from a copy

Cause: an offset is taken to name the same record for good. Class of fault: a position in an outside system outlives the system's own history. Ruled out: that 410 suffices (it comes only if less has been written again than was lost), and that an older configuration is taken (versions decide; test older_configuration_is_not_taken).

A response that states another era than the last one drops the offset, and the newest record of each key is read. Pages of before the restore are read again with those after it. The first client of a node that sees the new era lets the others ask at once, as after a call without a response (StoreHealth). Any other era counts, also a lower one; one that is no number says nothing.

The log word is store-restored now, not the name of the header.

--- a/crates/poplartrail-node/src/adapters/store/follow.rs
+++ b/crates/poplartrail-node/src/adapters/store/follow.rs
@@ -81,9 +81,7 @@
         backoff: Backoff::new(BACKOFF_RANGE.0, BACKOFF_RANGE.1),
     };
     loop {
-        let result = reader.read_batch().await;
-        reader.observe_era();
-        match result {
+        match reader.read_batch().await {
             Ok(has_records) => {
                 reader.record_success();
                 if has_records {
@@ -121,20 +119,23 @@
         }
     }
 
-    /// Records the era that the last response states.
-    fn observe_era(&mut self) {
-        let era = self.client.era();
-        if let (Some(from), Some(to)) = (self.era, era)
-            && from != to
-        {
-            let topic = self.topic.name();
-            counter!("poplartrail_store_restores_total", "topic" => topic).increment(1);
-            spdlog::warn!(
-                "the store has come back from a copy (era {from} -> {to}), seen by the reader of {topic}",
-                kv: { event = "store-era", from, to }
-            );
+    /// Records the era that the last response states, and returns whether it is a new one: the
+    /// store has come back from a copy, and offsets of before mean nothing any more.
+    fn enters_new_era(&mut self) -> bool {
+        let from = std::mem::replace(&mut self.era, self.client.era());
+        let (Some(from), Some(to)) = (from, self.era) else { return false };
+        if from == to {
+            return false;
         }
-        self.era = era;
+        // The long poll of another client may not show it for half a minute.
+        self.health.record_doubt();
+        let topic = self.topic.name();
+        counter!("poplartrail_store_restores_total", "topic" => topic).increment(1);
+        spdlog::warn!(
+            "the store has come back from a copy (era {from} -> {to}): reading the newest of each key of {topic}",
+            kv: { event = "store-restored", from, to }
+        );
+        true
     }
 
     /// Reads the next records and forwards them. Returns whether there were any.
@@ -146,7 +147,9 @@
     }
 
     async fn read_newest(&mut self) -> Result<bool, StoreError> {
-        let newest = self.client.newest_records(self.topic.name(), PAGE_TIMEOUT).await?;
+        let newest = self.client.newest_records(self.topic.name(), PAGE_TIMEOUT).await;
+        let _is_read_already = self.enters_new_era();
+        let newest = newest?;
         self.next_offset = Some(newest.next_offset);
         self.is_suspect = false;
         let has_records = !newest.records.is_empty();
@@ -164,11 +167,15 @@
             result = self.client.call(&call, wait + READ_TIMEOUT) => result,
             // The store may have lost the response to this call too. Dropping the call closes its
             // connection.
-            () = self.health.await_suspicion(), if !self.is_suspect => {
+            () = self.health.await_doubt(), if !self.is_suspect => {
                 self.is_suspect = true;
                 return Ok(false);
             }
         };
+        if self.enters_new_era() {
+            self.next_offset = None;
+            return Ok(false);
+        }
         let body = match result {
             Err(StoreError::Refused(StatusCode::GONE)) => {
                 spdlog::info!(
@@ -221,7 +228,7 @@
             .increment(1);
         if matches!(err, StoreError::Unanswered(_)) {
             self.is_suspect = true;
-            self.health.record_unanswered();
+            self.health.record_doubt();
         }
         if self.backoff.failures() == 0 {
             spdlog::warn!("{} cannot be read: {err}", self.topic.name());
--- a/crates/poplartrail-store/src/client.rs
+++ b/crates/poplartrail-store/src/client.rs
@@ -69,6 +69,7 @@
     ) -> Result<NewestRecords, StoreError> {
         let mut all: Option<NewestRecords> = None;
         let mut after_key = None;
+        let mut era = self.era;
         loop {
             let page = match self.call(&newest_call(topic, after_key.as_deref()), max_wait).await {
                 Err(StoreError::Refused(StatusCode::NOT_FOUND)) => {
@@ -76,6 +77,13 @@
                 }
                 result => decode_newest(&result?)?,
             };
+            // A page from before the store came back from a copy says nothing of its present content.
+            let is_first_page = after_key.is_none();
+            if std::mem::replace(&mut era, self.era) != self.era && !is_first_page {
+                all = None;
+                after_key = None;
+                continue;
+            }
             // Pages do not form a snapshot: records appended in between are read again from the
             // end of the first page.
             let all = all
