Write the member record of a node again if the store has lost it

What callers would see: after the store has come back from a copy, a node that joined in the lost seconds is unknown to every process that starts later, so its instance gets no calls from there; and an instance whose end was acknowledged in them gets calls again once its node restarts and a late heartbeat arrives (rule DRAIN).

Cause: a node appends its record once for each change of state, since the store keeps the newest of each key for good. Class of fault: an acknowledgement of an outside system taken as final, although that system may come back older. Ruled out: that the older record itself opens the gate of a running node (a drained incarnation stays drained).

Once the newest records are read again (a new era, or records that were dropped), the node compares its own with what it announced last (RestoredMembers), and appends it if the store no longer has it. If it does, nothing is written. Until the store has it, an end of the upstream is not acknowledged. A line names the loss (announced-again).

--- a/crates/poplartrail-core/src/engine/announcement.rs
+++ b/crates/poplartrail-core/src/engine/announcement.rs
@@ -48,6 +48,16 @@
         self.record_stored(stored);
     }
 
+    /// Records that the store may have lost the latest record.
+    pub(crate) fn record_loss(&mut self) {
+        self.is_stored = false;
+    }
+
+    /// Returns the latest record if the store is not known to hold it.
+    pub(crate) fn unstored(&self) -> Option<&MemberRecord> {
+        self.latest.as_ref().filter(|_| !self.is_stored)
+    }
+
     /// Records that the node appends `record`.
     pub(crate) fn record_appended(&mut self, record: &MemberRecord) {
         self.latest = Some(record.clone());
--- a/crates/poplartrail-core/src/engine/event.rs
+++ b/crates/poplartrail-core/src/engine/event.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     call::{Refusal, RequestId},
+    member::MemberState,
     names::{InstanceName, RankName, ServiceName, VmName},
     upstream::CallRate,
 };
@@ -113,6 +114,13 @@
         /// Name of the instance.
         instance: InstanceName,
     },
+    /// The store has lost the latest member record of this node, which is appended again.
+    AnnouncementLost {
+        /// VM of this node.
+        vm: VmName,
+        /// State that the record announces.
+        state: MemberState,
+    },
     /// The operators' configuration of the site is invalid and not applied.
     SiteDocumentRefused {
         /// Description of the error.
@@ -214,6 +222,7 @@
             | EventKind::UpstreamRestored { .. }
             | EventKind::LeavingAnswered { .. } => "upstream",
             EventKind::CallLimitNamed { .. } | EventKind::CallLimitSpent { .. } => "named-limit",
+            EventKind::AnnouncementLost { .. } => "announced-again",
             EventKind::SiteDocumentRefused { .. } => "site-refused",
             EventKind::OutcomeUnknown { .. } => "in-doubt",
             EventKind::Late { .. } => "late",
@@ -274,6 +283,13 @@
             EventKind::LeavingAnswered { instance } => {
                 write!(f, "upstream {instance} states in an answer that it is leaving")
             }
+            EventKind::AnnouncementLost { vm, state } => {
+                let state = match state {
+                    MemberState::Serving => "serving",
+                    MemberState::Draining => "leaving",
+                };
+                write!(f, "store has lost the record that {vm} is {state}: appended again")
+            }
             EventKind::SiteDocumentRefused { reason } => {
                 write!(f, "configuration cannot be used: {reason}")
             }
--- a/crates/poplartrail-core/src/engine/input.rs
+++ b/crates/poplartrail-core/src/engine/input.rs
@@ -261,6 +261,9 @@
     /// Records of members were read from the store: first the newest of all members, then further
     /// ones.
     StoredMembers(Vec<MemberRecord>),
+    /// The newest records of all members were read again, because the store has come back from a copy
+    /// or has dropped records that were not read.
+    RestoredMembers(Vec<MemberRecord>),
     /// The store has accepted a member record of this node.
     MemberStored(Box<MemberRecord>),
     /// Data sent on the open connection to this VM is not acknowledged.
--- a/crates/poplartrail-core/src/engine/node.rs
+++ b/crates/poplartrail-core/src/engine/node.rs
@@ -107,6 +107,9 @@
             }
             Input::PeerMembers(members) => self.handle_peer_members(now, wall, members, out),
             Input::StoredMembers(members) => self.handle_stored_members(now, wall, members, out),
+            Input::RestoredMembers(members) => {
+                self.handle_restored_members(now, wall, members, out);
+            }
             Input::MemberStored(record) => self.handle_member_stored(&record),
             Input::Wake => self.wake(now, wall, out),
             Input::Drain => self.drain(now, wall, out),
--- a/crates/poplartrail-core/src/engine/restore.rs
+++ b/crates/poplartrail-core/src/engine/restore.rs
@@ -46,6 +46,28 @@
         }
     }
 
+    /// Applies the newest member records of a store that may have lost later ones, and appends that
+    /// of this node again if it is among those.
+    pub(super) fn handle_restored_members(
+        &mut self,
+        now: Time,
+        wall: WallTime,
+        members: Vec<MemberRecord>,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(hosted) = &mut self.hosted {
+            hosted.announcement.record_loss();
+        }
+        self.handle_stored_members(now, wall, members, out);
+        let lost = self.hosted.as_ref().and_then(|hosted| hosted.announcement.unstored());
+        if let Some(record) = lost.cloned() {
+            let (vm, state) = (record.member.vm.clone(), record.state);
+            let kind = EventKind::AnnouncementLost { vm, state };
+            out.push(Output::RecordEvent(Event { request_id: None, rank: None, kind }));
+            out.push(Output::AppendMember(record));
+        }
+    }
+
     /// Records that the store has accepted `record` of this node.
     pub(super) fn handle_member_stored(&mut self, record: &MemberRecord) {
         if let Some(hosted) = &mut self.hosted {
--- a/crates/poplartrail-node/src/adapters/store/follow.rs
+++ b/crates/poplartrail-node/src/adapters/store/follow.rs
@@ -74,6 +74,7 @@
         client: StoreClient::new(store),
         decide,
         next_offset: None,
+        is_restored: false,
         era: None,
         is_suspect: false,
         health,
@@ -99,6 +100,8 @@
     decide: RingSender<DecideMessage>,
     /// Offset of the next record. `None` until the newest record of each key has been read.
     next_offset: Option<u64>,
+    /// Whether the newest records are read again, because the store may have lost some.
+    is_restored: bool,
     /// Era of the store as of the last response; `None` if none has stated it.
     era: Option<u64>,
     /// Whether the store has left a call unanswered since the last response. The next read is then
@@ -146,9 +149,15 @@
         }
     }
 
+    /// Lets the next read return the newest record of each key.
+    fn read_anew(&mut self) {
+        self.next_offset = None;
+        self.is_restored = true;
+    }
+
     async fn read_newest(&mut self) -> Result<bool, StoreError> {
         let newest = self.client.newest_records(self.topic.name(), PAGE_TIMEOUT).await;
-        let _is_read_already = self.enters_new_era();
+        self.is_restored |= self.enters_new_era();
         let newest = newest?;
         self.next_offset = Some(newest.next_offset);
         self.is_suspect = false;
@@ -173,7 +182,7 @@
             }
         };
         if self.enters_new_era() {
-            self.next_offset = None;
+            self.read_anew();
             return Ok(false);
         }
         let body = match result {
@@ -182,7 +191,7 @@
                     "the store has dropped records of {}: reading the newest of each key",
                     self.topic.name()
                 );
-                self.next_offset = None;
+                self.read_anew();
                 return Ok(false);
             }
             result => result?,
@@ -206,7 +215,10 @@
                 let members: Vec<_> = records.iter().filter_map(decode_member).collect();
                 self.members.extend(members.iter().map(|record| record.member.vm.clone()));
                 self.health.set_nodes(self.members.len());
-                Some(Input::StoredMembers(members))
+                match std::mem::take(&mut self.is_restored) {
+                    true => Some(Input::RestoredMembers(members)),
+                    false => Some(Input::StoredMembers(members)),
+                }
             }
         };
         if let Some(input) = input {
