--- a/crates/poplartrail-core/src/upstream/call_rate.rs
+++ b/crates/poplartrail-core/src/upstream/call_rate.rs
@@ -11,7 +11,7 @@
     ///
     /// A rate above 4.29 million calls a second becomes that rate.
     pub fn from_per_second(rate: f64) -> Option<Self> {
-        (rate.is_finite() && rate >= 0.0).then(|| Self((rate * 1e3) as u32))
+        (rate.is_finite() && rate >= 0.0).then_some(Self((rate * 1e3) as u32))
     }
 
     /// Creates a rate from thousandths of a call a second.
--- a/crates/poplartrail-wire/tests/peer_messages.rs
+++ b/crates/poplartrail-wire/tests/peer_messages.rs
@@ -57,7 +57,7 @@
         },
         limit: limit.map(CallRate::from_thousandths),
         age: Duration::from_millis(age_ms),
-        is_leaving: age_ms % 2 == 0,
+        is_leaving: age_ms.is_multiple_of(2),
     }
 }
 
