Close the connection that has been idle longest for a new one at the bound

Cause: a permit was taken before a connection was accepted and kept while it was idle. Class of fault: a bound held by those who use nothing. Ruled out: a higher bound, and not being ready (there is room as soon as it is taken).

--- a/crates/poplartrail-node/src/adapters/server/connection.rs
+++ b/crates/poplartrail-node/src/adapters/server/connection.rs
@@ -24,7 +24,7 @@
 use crate::adapters::{
     server::{
         Handler, HttpRequest, HttpResponse, ServerOptions, lingering::LingeringConnection,
-        parser::RequestParser,
+        parser::RequestParser, room::ConnectionPlace,
     },
     unsent::{UnsentOnConnection, UnsentReply},
 };
@@ -53,6 +53,7 @@
 pub(crate) struct Connection<H> {
     rx: OwnedReadHalf,
     tx: OwnedWriteHalf,
+    place: ConnectionPlace,
     handler: H,
     limits: watch::Receiver<CallerLimits>,
     shutting_down: watch::Receiver<bool>,
@@ -81,6 +82,8 @@
     TimedOut,
     /// The process has been asked to stop, and the connection is idle.
     Stopping,
+    /// The connection is idle, and another one needs its place.
+    Evicted,
 }
 
 /// What becomes of a connection after an event.
@@ -98,13 +101,19 @@
 }
 
 impl<H: Handler> Connection<H> {
-    pub(crate) fn new(stream: TcpStream, handler: H, options: ServerOptions) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        place: ConnectionPlace,
+        handler: H,
+        options: ServerOptions,
+    ) -> Self {
         let (rx, tx) = stream.into_split();
         let ServerOptions { limits, shutting_down, request_budget, unsent, .. } = options;
         let reservation = request_budget.reservation();
         Self {
             rx,
             tx,
+            place,
             handler,
             limits,
             shutting_down,
@@ -137,11 +146,13 @@
                 }
                 ConnectionEvent::TimedOut => self.handle_timeout().await,
                 ConnectionEvent::Stopping => self.close_idle(),
+                ConnectionEvent::Evicted => self.make_room().await,
             };
             match next_step {
                 NextStep::Serve => {}
                 NextStep::Linger(unsent) => {
-                    let is_closed = self.into_lingering(unsent).close().await;
+                    let (lingering, _place) = self.into_lingering(unsent);
+                    let is_closed = lingering.close().await;
                     return record_closed(if is_closed { "node" } else { "overdue" });
                 }
                 NextStep::Close => return record_closed("node"),
@@ -151,15 +162,17 @@
         }
     }
 
-    /// Drops all that the connection holds but its socket.
-    fn into_lingering(self, unsent: UnsentReply) -> LingeringConnection {
-        LingeringConnection::new(self.rx, self.tx, unsent)
+    /// Drops all that the connection holds but its socket and its place.
+    fn into_lingering(self, unsent: UnsentReply) -> (LingeringConnection, ConnectionPlace) {
+        (LingeringConnection::new(self.rx, self.tx, unsent), self.place)
     }
 
     async fn next_event(&mut self) -> ConnectionEvent {
         let deadline = self.deadline();
         let may_read = self.buf.len() < MAX_BUFFERED_BYTES;
-        let may_close = self.has_pipelined && self.is_quiet();
+        let is_quiet = self.is_quiet();
+        let may_close = self.has_pipelined && is_quiet;
+        self.place.set_idle(is_quiet, self.wait_start);
         self.buf.reserve(READ_BUFFER_BYTES);
         tokio::select! {
             Some(completed) = self.in_progress.next(), if !self.in_progress.is_empty() => {
@@ -170,6 +183,7 @@
             Ok(_) = self.shutting_down.wait_for(|is_stopping| *is_stopping), if may_close => {
                 ConnectionEvent::Stopping
             }
+            () = self.place.evicted(), if is_quiet => ConnectionEvent::Evicted,
         }
     }
 
@@ -327,6 +341,15 @@
         self.write(completed).await
     }
 
+    /// Ends an idle connection, unless a request has arrived meanwhile.
+    async fn make_room(&mut self) -> NextStep {
+        self.buf.reserve(READ_BUFFER_BYTES);
+        match self.rx.try_read_buf(&mut self.buf) {
+            Ok(1..) => self.start_requests().await,
+            _ => self.close_idle(),
+        }
+    }
+
     /// Ends an idle connection. A client that doesn't pipeline has received every response by the
     /// time it sends the next request, and repeats one that the node has not read.
     fn close_idle(&self) -> NextStep {
--- a/crates/poplartrail-node/src/adapters/server/mod.rs
+++ b/crates/poplartrail-node/src/adapters/server/mod.rs
@@ -4,6 +4,8 @@
 mod lingering;
 mod message;
 mod parser;
+mod refusal;
+mod room;
 mod run;
 
 pub(crate) use message::{Handler, HttpRequest, HttpResponse};
--- a/crates/poplartrail-node/src/adapters/server/run.rs
+++ b/crates/poplartrail-node/src/adapters/server/run.rs
@@ -1,18 +1,18 @@
 //! Accept loop of a server.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use metrics::counter;
 use poplartrail_core::site::CallerLimits;
 use poplartrail_http::ByteBudget;
 use tokio::{
     net::{TcpListener, TcpSocket},
-    sync::{Semaphore, watch},
+    sync::watch,
     time::sleep,
 };
 
 use crate::adapters::{
-    server::{Handler, connection::Connection},
+    server::{Handler, connection::Connection, refusal::Refuser, room::ConnectionRoom},
     unsent::UnsentReplies,
 };
 
@@ -27,7 +27,8 @@
 pub(crate) struct ServerOptions {
     /// Address to listen on.
     pub(crate) listen: SocketAddr,
-    /// Maximum number of open connections.
+    /// Maximum number of open connections. At this number, the one that has been idle longest is
+    /// closed for a new one, which is refused if none is idle.
     pub(crate) max_connections: usize,
     /// Limits on each connection; a change applies to open connections too.
     pub(crate) limits: watch::Receiver<CallerLimits>,
@@ -50,9 +51,9 @@
             std::process::exit(1);
         }
     };
-    let permits = Arc::new(Semaphore::new(options.max_connections));
+    let room = ConnectionRoom::new(options.max_connections);
+    let refuser = Refuser::new(options.unsent.clone());
     loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else { return };
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(err) => {
@@ -66,11 +67,13 @@
             spdlog::debug!("connection lost before it was served: {err}");
             continue;
         }
-        let connection = Connection::new(stream, handler.clone(), options.clone());
-        tokio::spawn(async move {
-            connection.serve().await;
-            drop(permit);
-        });
+        match room.enter() {
+            Some(place) => {
+                let connection = Connection::new(stream, place, handler.clone(), options.clone());
+                tokio::spawn(connection.serve());
+            }
+            None => refuser.refuse(stream),
+        }
     }
 }
 
--- a/crates/poplartrail-stand/src/hosted/node.rs
+++ b/crates/poplartrail-stand/src/hosted/node.rs
@@ -42,10 +42,15 @@
     /// Starts a store with the configuration `site`, an instance, and a ready node of the service
     /// `routes` that has accepted a heartbeat of the instance.
     pub fn start_single(site: &str) -> (StandStore, StandInstance, Self) {
+        Self::start_single_with(site, "")
+    }
+
+    /// Starts the same with further settings of the table `limits`.
+    pub fn start_single_with(site: &str, limits: &str) -> (StandStore, StandInstance, Self) {
         let store = StandStore::start();
         store.publish(site);
         let instance = StandInstance::start("i-1");
-        let mut node = Self::start("vm-1", "routes", &store, &instance);
+        let mut node = Self::start_with("vm-1", "routes", &store, &instance, limits);
         node.await_ready();
         assert_eq!(
             node.send_heartbeat(&instance, "ready"),
@@ -59,6 +64,16 @@
     ///
     /// Returns without waiting until the node is ready.
     pub fn start(vm: &str, service: &str, store: &StandStore, instance: &StandInstance) -> Self {
+        Self::start_with(vm, service, store, instance, "")
+    }
+
+    fn start_with(
+        vm: &str,
+        service: &str,
+        store: &StandStore,
+        instance: &StandInstance,
+        limits: &str,
+    ) -> Self {
         static NEXT_NODE: AtomicU32 = AtomicU32::new(0);
         let number = NEXT_NODE.fetch_add(1, Ordering::Relaxed);
         let name = format!("poplartrail-hosted-{}-{number}", std::process::id());
@@ -73,7 +88,7 @@
              report = \"{report_addr}\"\n\
              [upstream]\naddr = \"{}\"\n[store]\naddr = \"{}\"\n\
              [retries]\nratio = 0.1\nburst = 20\n[stop]\ngrace_s = 6\n\
-             [limits]\nmax_body_bytes = 67108864\n",
+             [limits]\nmax_body_bytes = 67108864\n{limits}",
             instance.addr(),
             store.addr(),
         );
