Start no request whose caller has left before it was read

Cause: the end of a connection is noticed by the next read, after the request before it has been started. Class of fault: work begun on what was read without a look at who still waits. Ruled out: cancelling the action once the end is noticed, as it may have begun.

Before a request is started, a peek at the socket tells whether its end lies behind the request; it is not started then. One call to the kernel for each request.

--- a/crates/poplartrail-node/src/adapters/server/connection.rs
+++ b/crates/poplartrail-node/src/adapters/server/connection.rs
@@ -1,6 +1,6 @@
 //! One connection of a client.
 
-use std::{io, time::Duration};
+use std::{io, mem::MaybeUninit, time::Duration};
 
 use bytes::BytesMut;
 use futures_util::{StreamExt, future::BoxFuture, stream::FuturesOrdered};
@@ -11,6 +11,7 @@
     ByteBudget, ByteReservation,
     h1::{EncodedMessage, MessageError, encode_response},
 };
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -209,6 +210,9 @@
                 Ok(Some(req)) => {
                     self.wait_start = Instant::now();
                     self.has_sent_continue = false;
+                    if self.has_ended() {
+                        return NextStep::Lost;
+                    }
                     if self.reservation.grow_to(req.body.len()) {
                         self.start(req);
                     } else {
@@ -233,6 +237,17 @@
         NextStep::Serve
     }
 
+    /// Returns whether the client has ended the connection behind what has been read. It may have
+    /// done so long before this process got to read its request, which must not run then.
+    fn has_ended(&self) -> bool {
+        let stream: &TcpStream = self.rx.as_ref();
+        let mut byte = [MaybeUninit::uninit(); 1];
+        match SockRef::from(stream).peek(&mut byte) {
+            Ok(len) => len == 0,
+            Err(err) => err.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     fn start(&mut self, req: HttpRequest) {
         let is_head = req.head.method == Method::HEAD;
         let closes_connection = !req.head.is_persistent;
