Count the time limit of a head from its first byte

What callers saw: 408 for a request whose head came in two parts, if its connection had been idle for longer than header-timeout-ms.

Cause: one clock, which starts with the last answer, served the idle timeout and the header timeout. It restarts now with the first bytes of a request, and not with further ones. Ruled out: two clocks, since no wait counts towards both.

--- a/crates/poplartrail-node/src/adapters/server/connection.rs
+++ b/crates/poplartrail-node/src/adapters/server/connection.rs
@@ -71,8 +71,8 @@
     has_pipelined: bool,
     has_sent_continue: bool,
     /// Start of the current wait for the client. It counts towards the idle timeout, or towards the
-    /// header timeout once part of a request has been received, and restarts when the head is
-    /// complete.
+    /// header timeout once part of a request has been received, and restarts with the first bytes of
+    /// a request and when its head is complete.
     wait_start: Instant,
 }
 
@@ -135,9 +135,15 @@
     /// progress are dropped.
     pub(crate) async fn serve(mut self) {
         loop {
+            let begins_request = self.buf.is_empty() && !self.parser.is_in_body();
             let next_step = match self.next_event().await {
                 ConnectionEvent::Read(Ok(0) | Err(_)) => NextStep::Lost,
-                ConnectionEvent::Read(Ok(_)) => self.start_requests().await,
+                ConnectionEvent::Read(Ok(_)) => {
+                    if begins_request {
+                        self.wait_start = Instant::now();
+                    }
+                    self.start_requests().await
+                }
                 ConnectionEvent::Completed(completed) => {
                     self.wait_start = Instant::now();
                     match self.write(completed).await {
@@ -360,7 +366,10 @@
     async fn make_room(&mut self) -> NextStep {
         self.buf.reserve(READ_BUFFER_BYTES);
         match self.rx.try_read_buf(&mut self.buf) {
-            Ok(1..) => self.start_requests().await,
+            Ok(1..) => {
+                self.wait_start = Instant::now();
+                self.start_requests().await
+            }
             _ => self.close_idle(),
         }
     }
