Bound a head by its length alone, not by its number of fields

What callers saw: 400 for a head within max-header-bytes that has more than 96 fields.

Cause: the parser's array had that length. A head with more fields is read once more with as many as its bytes can hold; beyond, or if a map cannot hold them, it is too long (431). A usual head is parsed without an allocation, as before. Ruled out: a larger array on the stack, which is another number without a reason.

Test that failed before: http h1_messages many_short_fields_are_read.

--- a/crates/poplartrail-http/src/h1/head.rs
+++ b/crates/poplartrail-http/src/h1/head.rs
@@ -5,8 +5,11 @@
 
 use crate::h1::{Framing, MessageError};
 
-/// Most header fields of one message.
-const MAX_FIELDS: usize = 96;
+/// Header fields of a usual message, which are parsed without an allocation.
+const USUAL_FIELDS: usize = 96;
+/// Bytes of the shortest field: a name of one letter, a colon and the line end.
+const MIN_FIELD_BYTES: usize = 4;
+const TOO_MANY_FIELDS: MessageError = MessageError::InvalidHead("too many fields");
 
 /// Request line and header fields of a request.
 #[derive(Debug, Clone)]
@@ -41,8 +44,26 @@
     buf: &mut BytesMut,
     max_bytes: usize,
 ) -> Result<Option<RequestHead>, MessageError> {
-    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
-    let mut head = httparse::Request::new(&mut fields);
+    let mut fields = [httparse::EMPTY_HEADER; USUAL_FIELDS];
+    let head = match read_request_head(buf, max_bytes, &mut fields) {
+        Err(TOO_MANY_FIELDS) => {
+            let mut fields = vec![httparse::EMPTY_HEADER; max_fields(buf, max_bytes)];
+            read_request_head(buf, max_bytes, &mut fields).map_err(|err| too_long(err, max_bytes))
+        }
+        head => head,
+    };
+    let Some((len, head)) = head? else { return Ok(None) };
+    buf.advance(len);
+    Ok(Some(head))
+}
+
+/// Reads a request head at the front of `buf`, and returns it with its length.
+fn read_request_head<'b>(
+    buf: &'b [u8],
+    max_bytes: usize,
+    fields: &mut [httparse::Header<'b>],
+) -> Result<Option<(usize, RequestHead)>, MessageError> {
+    let mut head = httparse::Request::new(fields);
     let len = match head.parse(buf).map_err(head_error)? {
         httparse::Status::Complete(len) => len,
         httparse::Status::Partial => return check_head_len(buf.len(), max_bytes).map(|()| None),
@@ -53,8 +74,7 @@
     let target = head.path.unwrap_or_default().to_owned();
     let headers = header_map(head.headers)?;
     let is_persistent = is_persistent(head.version, &headers);
-    buf.advance(len);
-    Ok(Some(RequestHead { method, target, headers, is_persistent }))
+    Ok(Some((len, RequestHead { method, target, headers, is_persistent })))
 }
 
 /// Removes a response head from the front of `buf`, or returns `None` if it is incomplete.
@@ -66,8 +86,26 @@
     buf: &mut BytesMut,
     max_bytes: usize,
 ) -> Result<Option<ResponseHead>, MessageError> {
-    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
-    let mut head = httparse::Response::new(&mut fields);
+    let mut fields = [httparse::EMPTY_HEADER; USUAL_FIELDS];
+    let head = match read_response_head(buf, max_bytes, &mut fields) {
+        Err(TOO_MANY_FIELDS) => {
+            let mut fields = vec![httparse::EMPTY_HEADER; max_fields(buf, max_bytes)];
+            read_response_head(buf, max_bytes, &mut fields).map_err(|err| too_long(err, max_bytes))
+        }
+        head => head,
+    };
+    let Some((len, head)) = head? else { return Ok(None) };
+    buf.advance(len);
+    Ok(Some(head))
+}
+
+/// Reads a response head at the front of `buf`, and returns it with its length.
+fn read_response_head<'b>(
+    buf: &'b [u8],
+    max_bytes: usize,
+    fields: &mut [httparse::Header<'b>],
+) -> Result<Option<(usize, ResponseHead)>, MessageError> {
+    let mut head = httparse::Response::new(fields);
     let len = match head.parse(buf).map_err(head_error)? {
         httparse::Status::Complete(len) => len,
         httparse::Status::Partial => return check_head_len(buf.len(), max_bytes).map(|()| None),
@@ -79,8 +117,7 @@
     let status = status.ok_or(MessageError::InvalidHead("status"))?;
     let headers = header_map(head.headers)?;
     let is_persistent = is_persistent(head.version, &headers);
-    buf.advance(len);
-    Ok(Some(ResponseHead { status, headers, is_persistent }))
+    Ok(Some((len, ResponseHead { status, headers, is_persistent })))
 }
 
 impl RequestHead {
@@ -122,24 +159,37 @@
         httparse::Error::NewLine => "line end",
         httparse::Error::Status => "status",
         httparse::Error::Token => "token",
-        httparse::Error::TooManyHeaders => "too many fields",
+        httparse::Error::TooManyHeaders => return TOO_MANY_FIELDS,
         httparse::Error::Version => "version",
     })
 }
 
+/// Converts the error for more fields than a head of `max_bytes` can have.
+fn too_long(err: MessageError, max_bytes: usize) -> MessageError {
+    if err == TOO_MANY_FIELDS { MessageError::HeadTooLong(max_bytes) } else { err }
+}
+
+/// Returns how many fields a head of at most `max_bytes` at the front of `buf` may have.
+fn max_fields(buf: &[u8], max_bytes: usize) -> usize {
+    buf.len().min(max_bytes) / MIN_FIELD_BYTES + 1
+}
+
 fn check_head_len(len: usize, max: usize) -> Result<(), MessageError> {
     if len > max { Err(MessageError::HeadTooLong(max)) } else { Ok(()) }
 }
 
 fn header_map(fields: &[httparse::Header<'_>]) -> Result<HeaderMap, MessageError> {
-    let mut headers = HeaderMap::with_capacity(fields.len());
+    let headers = HeaderMap::try_with_capacity(fields.len());
+    let mut headers = headers.map_err(|_| TOO_MANY_FIELDS)?;
     for field in fields {
         let name = HeaderName::from_bytes(field.name.as_bytes());
         let value = HeaderValue::from_bytes(field.value);
         match (name, value) {
-            (Ok(name), Ok(value)) => headers.append(name, value),
+            (Ok(name), Ok(value)) => {
+                headers.try_append(name, value).map_err(|_| TOO_MANY_FIELDS)?;
+            }
             _ => return Err(MessageError::InvalidHead("field")),
-        };
+        }
     }
     Ok(headers)
 }
--- a/crates/poplartrail-http/tests/h1_messages.rs
+++ b/crates/poplartrail-http/tests/h1_messages.rs
@@ -147,3 +147,25 @@
     assert_eq!(decoder.decode(&mut buf), Ok(true));
     assert_eq!((&decoder.into_body()[..], &buf[..]), (&b"ok"[..], &b"next"[..]));
 }
+
+/// Only the length of a head is bounded.
+#[test]
+fn many_short_fields_are_read() {
+    let fields: String = (0..900).map(|_| "a:\r\n").collect();
+    let mut buf = BytesMut::from(&*format!("GET / HTTP/1.1\r\n{fields}\r\nrest"));
+    let head = parse_request_head(&mut buf, MAX_BYTES).expect("valid").expect("complete");
+    assert_eq!((head.headers.len(), &buf[..]), (900, &b"rest"[..]));
+    let mut buf = BytesMut::from(&*format!("HTTP/1.1 200 OK\r\n{fields}\r\n"));
+    let head = parse_response_head(&mut buf, MAX_BYTES).expect("valid").expect("complete");
+    assert_eq!(head.headers.len(), 900);
+}
+
+#[test_case(1_100; "above the length")]
+#[test_case(40_000; "more than a map of fields holds")]
+fn too_many_fields_are_rejected(count: usize) {
+    let fields: String = (0..count).map(|number| format!("a{number}:\r\n")).collect();
+    let mut buf = BytesMut::from(&*format!("GET / HTTP/1.1\r\n{fields}\r\n"));
+    let max_bytes = if count > 10_000 { 1 << 20 } else { MAX_BYTES };
+    let result = parse_request_head(&mut buf, max_bytes);
+    assert_eq!(result.err(), Some(MessageError::HeadTooLong(max_bytes)));
+}
