--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -7,19 +7,13 @@
     engine::CallKey,
     gate::{
         Demand, LimitAlgorithm, Limiter, Permit, Sample, UpstreamOutcome, allocate_shares,
-        call_pacer::CallPacer, queue::RankQueue,
+        call_pacer::CallPacer, queue::RankQueue, rank_state::RankState,
     },
     policy::{RankIndex, Ranks},
     time::Time,
     upstream::CallRate,
 };
 
-/// Weight of the newest interval in the moving average of a rank's arrival rate.
-const DEMAND_SMOOTHING: f64 = 0.5;
-/// An interval has its full weight if at least this many calls of the rank arrived in it.
-const DEMAND_FULL_WEIGHT_ARRIVALS: f64 = 20.0;
-/// Smallest factor on the weight of an interval, if few calls arrived in it.
-const DEMAND_MIN_WEIGHT_FACTOR: f64 = 0.2;
 /// Weight of one call in the moving average of the hold time.
 const HOLD_TIME_SMOOTHING: f64 = 0.02;
 /// Error of the capacity estimate when every permit is in use and no call is queued. With
@@ -31,11 +25,6 @@
 /// Fraction of a rank's queued calls that the division of capacity plans to serve in one interval,
 /// besides new arrivals.
 const BACKLOG_DRAIN_FRACTION: f64 = 0.5;
-/// Largest factor by which a rank's share grows from one interval to the next.
-const MAX_SHARE_GROWTH: f64 = 2.0;
-/// Share that a closed rank grows to in one interval, and the smallest share by which an arrival is
-/// scaled up.
-const MIN_GROWTH_SHARE: f64 = 1.0 / 32.0;
 /// Range of the correction factor on the estimated capacity.
 const CAPACITY_GAIN_RANGE: (f64, f64) = (0.5, 3.0);
 /// Relative change of the correction factor in one interval for an error of 1. While no share is
@@ -114,15 +103,6 @@
     pub max_queue_len: usize,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct RankState {
-    arrived: u32,
-    /// Estimated arrivals of this interval if no gate on the path had shed any call.
-    estimated_arrivals: f64,
-    arrival_rate: f64,
-    share: Share,
-}
-
 /// Admission control for one upstream.
 ///
 /// Calls in progress are bounded by the limit of a [`Limiter`], further calls are queued by rank,
@@ -153,16 +133,10 @@
 impl Gate {
     /// Creates a gate with no calls in progress that admits every rank in full.
     pub fn new(options: GateOptions, ranks: &Ranks) -> Self {
-        let start = RankState {
-            arrived: 0,
-            estimated_arrivals: 0.0,
-            arrival_rate: 0.0,
-            share: Share::FULL,
-        };
         Self {
             queue: RankQueue::new(ranks.len(), options.max_queue_len),
             worths: ranks.iter().map(|r| (r.worth, r.is_urgent)).collect(),
-            ranks: vec![start; ranks.len()],
+            ranks: vec![RankState::default(); ranks.len()],
             options,
             pacer: None,
             in_flight: 0,
@@ -215,15 +189,9 @@
     /// Queued calls keep their order. Calls of a rank that no longer exists are moved to the least
     /// urgent rank.
     pub fn set_ranks(&mut self, ranks: &Ranks, max_queue_len: usize) {
-        let start = RankState {
-            arrived: 0,
-            estimated_arrivals: 0.0,
-            arrival_rate: 0.0,
-            share: Share::FULL,
-        };
         self.options.max_queue_len = max_queue_len;
         self.worths = ranks.iter().map(|r| (r.worth, r.is_urgent)).collect();
-        self.ranks = vec![start; ranks.len()];
+        self.ranks = vec![RankState::default(); ranks.len()];
         self.queue.set_ranks(ranks.len(), max_queue_len);
     }
 
@@ -511,31 +479,3 @@
         }
     }
 }
-
-impl RankState {
-    /// Counts a call together with the calls that earlier gates have shed of its rank.
-    ///
-    /// A call that arrives under an admitted share counts as the inverse of that share (Horvitz and
-    /// Thompson, 1952). Otherwise a gate whose callers shed on its behalf would see no demand,
-    /// admit everything, and be overrun as soon as its callers receive the new share.
-    fn record_arrival(&mut self, request: &AdmissionRequest) {
-        self.arrived += 1;
-        self.estimated_arrivals += 1.0 / request.admitted_share.fraction().max(MIN_GROWTH_SHARE);
-    }
-
-    /// Updates the estimate of the rate at which calls would arrive if every gate on the path
-    /// admitted everything.
-    fn update_rate(&mut self, interval_secs: f64) {
-        // An interval with few arrivals is a poor estimate, so it gets a low weight.
-        let weight = (f64::from(self.arrived) / DEMAND_FULL_WEIGHT_ARRIVALS)
-            .clamp(DEMAND_MIN_WEIGHT_FACTOR, 1.0);
-        self.arrival_rate += DEMAND_SMOOTHING
-            * weight
-            * (self.estimated_arrivals / interval_secs - self.arrival_rate);
-    }
-
-    fn ramp_share_to(&mut self, target: Share) {
-        let max_fraction = (self.share.fraction() * MAX_SHARE_GROWTH).max(MIN_GROWTH_SHARE);
-        self.share = target.min(Share::from_fraction(max_fraction));
-    }
-}
--- a/crates/poplartrail-core/src/gate/mod.rs
+++ b/crates/poplartrail-core/src/gate/mod.rs
@@ -13,6 +13,7 @@
 mod limiter;
 mod queue;
 mod queue_bound;
+mod rank_state;
 mod rejection_rate;
 mod shares;
 mod vegas_limit;
