Judge by its own rank whether a call can still finish

What callers saw: requests of a quick route with a short time limit are refused as too late for as long as a slow route beside it is in use.

Cause: half of the mean hold time of all calls was taken as what any call needs, and refused calls are never measured. Class of fault: an estimate that keeps away the samples which would correct it. Ruled out: a minimum instead of the mean, which would admit slow calls that cannot finish.

Each rank keeps its own hold time, which expires after 10 s without a call; without one nothing is refused for it.

--- a/crates/poplartrail-bench/src/bin/cost.rs
+++ b/crates/poplartrail-bench/src/bin/cost.rs
@@ -85,6 +85,7 @@
             let GateDecision::Dispatch(_, granted) = decision else { continue };
             let hold = Duration::from_millis(5);
             let done = Completion {
+                rank: RankIndex(0),
                 hold_time: hold,
                 self_time: hold,
                 permit: granted,
--- a/crates/poplartrail-core/src/engine/returns.rs
+++ b/crates/poplartrail-core/src/engine/returns.rs
@@ -157,7 +157,8 @@
         };
         let hold_time = cx.now.since(dispatched_at);
         let self_time = hold_time.saturating_sub(active_call.children_time + open_time);
-        let completion = Completion { hold_time, self_time, permit: active_call.permit, outcome };
+        let (rank, permit) = (active_call.rank, active_call.permit);
+        let completion = Completion { hold_time, self_time, rank, permit, outcome };
         let mut decisions = Vec::new();
         self.gate.complete(cx.now, completion, &mut decisions);
         self.apply_gate_decisions(cx, decisions);
--- a/crates/poplartrail-core/src/gate/gate_state.rs
+++ b/crates/poplartrail-core/src/gate/gate_state.rs
@@ -74,6 +74,8 @@
     pub hold_time: Duration,
     /// Hold time less the time spent waiting for its own outbound calls.
     pub self_time: Duration,
+    /// Rank of the call.
+    pub rank: RankIndex,
     /// Permit that the call was dispatched with.
     pub permit: Permit,
     /// How the upstream ended the call.
@@ -156,6 +158,7 @@
     pub fn set_limiter(&mut self, limiter: Limiter) {
         self.options.limiter = Some(limiter);
         self.mean_hold_secs = None;
+        self.ranks.iter_mut().for_each(RankState::forget_holds);
     }
 
     /// Sets the rate of calls that the upstream takes; `None` for any.
@@ -286,6 +289,9 @@
         self.record_usage(now);
         self.in_flight = self.in_flight.saturating_sub(1);
         if done.outcome == UpstreamOutcome::Answered {
+            if let Some(state) = self.ranks.get_mut(done.rank.index()) {
+                state.record_hold(now, done.hold_time);
+            }
             let hold_secs = done.hold_time.as_secs_f64();
             self.mean_hold_secs = Some(
                 self.mean_hold_secs
@@ -322,9 +328,10 @@
     pub fn end_interval(&mut self, now: Time, decisions: &mut Vec<GateDecision>) {
         self.record_usage(now);
         if self.options.enforces_deadlines {
-            let min_time_needed = self.min_time_needed();
-            let too_late =
-                self.queue.extract_if(|request| request.deadline < now + min_time_needed);
+            let ranks = &self.ranks;
+            let too_late = self.queue.extract_if(|request| {
+                request.deadline < now + ranks[request.rank.index()].min_time_needed(now)
+            });
             decisions.extend(
                 too_late
                     .into_iter()
@@ -366,13 +373,9 @@
         self.worths[rank.index()].1
     }
 
-    /// Returns the shortest time that a call is assumed to need: half of the mean hold time.
-    fn min_time_needed(&self) -> Duration {
-        self.mean_hold_time().unwrap_or_default().mul_f64(0.5)
-    }
-
     fn is_too_late(&self, now: Time, request: &AdmissionRequest) -> bool {
-        self.options.enforces_deadlines && request.deadline < now + self.min_time_needed()
+        let min_time_needed = self.ranks[request.rank.index()].min_time_needed(now);
+        self.options.enforces_deadlines && request.deadline < now + min_time_needed
     }
 
     fn record_usage(&mut self, now: Time) {
--- a/crates/poplartrail-core/src/gate/rank_state.rs
+++ b/crates/poplartrail-core/src/gate/rank_state.rs
@@ -1,6 +1,8 @@
 //! Demand and share of one rank at a gate.
 
-use crate::{call::Share, gate::AdmissionRequest};
+use std::time::Duration;
+
+use crate::{call::Share, gate::AdmissionRequest, time::Time};
 
 /// Weight of the newest interval in the moving average of a rank's arrival rate.
 const DEMAND_SMOOTHING: f64 = 0.5;
@@ -13,6 +15,10 @@
 /// Share that a closed rank grows to in one interval, and the smallest share by which an arrival is
 /// scaled up.
 const MIN_GROWTH_SHARE: f64 = 1.0 / 32.0;
+/// Weight of one call in the moving average of the hold time.
+const HOLD_TIME_SMOOTHING: f64 = 0.05;
+/// Time without a call after which the hold time is no longer known.
+const HOLD_TIME_MAX_AGE: Duration = Duration::from_secs(10);
 
 /// State of one rank.
 #[derive(Debug, Clone, Copy)]
@@ -25,15 +31,47 @@
     pub(crate) arrival_rate: f64,
     /// Share of the calls that the gate admits.
     pub(crate) share: Share,
+    /// Average time in seconds for which a call holds its permit, and when the last one ended.
+    hold: Option<(f64, Time)>,
 }
 
 impl Default for RankState {
     fn default() -> Self {
-        Self { arrived: 0, estimated_arrivals: 0.0, arrival_rate: 0.0, share: Share::FULL }
+        Self {
+            arrived: 0,
+            estimated_arrivals: 0.0,
+            arrival_rate: 0.0,
+            share: Share::FULL,
+            hold: None,
+        }
     }
 }
 
 impl RankState {
+    /// Records the time for which a call held its permit until `now`.
+    pub(crate) fn record_hold(&mut self, now: Time, hold_time: Duration) {
+        let secs = hold_time.as_secs_f64();
+        let mean =
+            self.mean_hold_secs(now).map_or(secs, |old| old + HOLD_TIME_SMOOTHING * (secs - old));
+        self.hold = Some((mean, now));
+    }
+
+    /// Discards the recorded hold times.
+    pub(crate) fn forget_holds(&mut self) {
+        self.hold = None;
+    }
+
+    /// Returns the shortest time that a call is assumed to need: half of the mean hold time, or zero
+    /// if that is not known.
+    pub(crate) fn min_time_needed(&self, now: Time) -> Duration {
+        Duration::from_secs_f64(self.mean_hold_secs(now).unwrap_or_default() * 0.5)
+    }
+
+    fn mean_hold_secs(&self, now: Time) -> Option<f64> {
+        let (mean, at) = self.hold?;
+        (now.since(at) <= HOLD_TIME_MAX_AGE).then_some(mean)
+    }
+
     /// Counts a call together with the calls that earlier gates have shed of its rank.
     ///
     /// A call that arrives under an admitted share counts as the inverse of that share (Horvitz and
--- a/crates/poplartrail-core/tests/queue_wait.rs
+++ b/crates/poplartrail-core/tests/queue_wait.rs
@@ -76,6 +76,7 @@
             let done = Completion {
                 hold_time: HOLD_TIME,
                 self_time: HOLD_TIME,
+                rank: RankIndex(0),
                 permit,
                 outcome: UpstreamOutcome::Answered,
             };
