Report the end of an upstream that a node knows from the store

A node that has learned from its record in the store that its upstream leaves refused calls without saying for which incarnation, so that callers' nodes did not remember it for the process after. Test that failed before: core leaving_terms restored_end_is_reported.

--- a/crates/poplartrail-core/src/engine/restore.rs
+++ b/crates/poplartrail-core/src/engine/restore.rs
@@ -103,7 +103,10 @@
         out.push(Output::RecordEvent(Event { request_id: None, rank: None, kind }));
         match change {
             UpstreamChange::StoppedServing => self.handle_upstream_change(now, wall, change, out),
-            _ => self.calls.set_upstream_state(Err(Refusal::Draining)),
+            _ => {
+                self.calls.set_upstream_state(Err(Refusal::Draining));
+                self.calls.upstream_incarnation = Some(upstream.clone());
+            }
         }
     }
 
--- a/crates/poplartrail-core/tests/leaving_terms.rs
+++ b/crates/poplartrail-core/tests/leaving_terms.rs
@@ -109,3 +109,15 @@
     let refused = hosted::refusals_in(&out);
     assert_eq!(refused, [Refusal::Draining]);
 }
+
+/// A node that has learned it from the store tells the nodes that call it.
+#[test]
+fn restored_end_is_reported() {
+    let mut previous = HostedRun::new();
+    previous.send_heartbeat(WALL, 8);
+    let record = record_in(&previous.deregister(WALL)).expect("announced");
+    let mut run = HostedRun::new();
+    run.read_local_record(record);
+    let report = report_in(&run.receive_call_at(NOW, DEADLINE)).expect("a refusal");
+    assert_eq!(report.terms, Some(terms()));
+}
