Ignore what an answer says of the upstream once its call has ended

An answer that arrives after its call has ended may be of an earlier incarnation, and could drain the present one for good. Nobody gets such an answer, and the next one says the same.

--- a/crates/poplartrail-core/src/engine/notices.rs
+++ b/crates/poplartrail-core/src/engine/notices.rs
@@ -17,14 +17,13 @@
         notice: UpstreamNotice,
         out: &mut Vec<Output>,
     ) {
-        let dispatched_at = self.calls.dispatched_at(call);
+        // Nobody gets the answer to a call that has ended.
+        let Some(dispatched_at) = self.calls.dispatched_at(call) else { return };
         let Some(hosted) = &self.hosted else { return };
         // An answer to a call of an earlier incarnation says nothing of the registered one.
-        if dispatched_at.is_some_and(|at| at < hosted.registered_at) {
+        if dispatched_at < hosted.registered_at {
             return;
         }
-        // Of a call that has been given up it is not known when it was dispatched.
-        let dispatched_at = dispatched_at.unwrap_or(Time::ZERO);
         let from = self.calls.call_limit.rate();
         if self.calls.call_limit.observe(now, dispatched_at, notice.limit) {
             self.apply_call_limit(now, wall, from, out);
--- a/crates/poplartrail-core/tests/leaving_terms.rs
+++ b/crates/poplartrail-core/tests/leaving_terms.rs
@@ -10,7 +10,7 @@
 use hosted::{HostedRun, READ, WALL, dispatched_in, record_in, report_in};
 use poplartrail_core::{
     call::{Answer, Refusal},
-    engine::{Input, Output},
+    engine::{CallKey, Input, Output},
     member::MemberState,
     names::InstanceName,
     time::Time,
@@ -121,3 +121,14 @@
     let report = report_in(&run.receive_call_at(NOW, DEADLINE)).expect("a refusal");
     assert_eq!(report.terms, Some(terms()));
 }
+
+/// Nobody gets the answer to a call that has ended, and it may be of an earlier incarnation.
+#[test]
+fn answer_to_an_ended_call_is_ignored() {
+    let mut run = HostedRun::new();
+    run.register_upstream(8);
+    let result = Ok(Answer { status: 200, fields: Vec::new(), body: Bytes::new() });
+    let notice = Some(UpstreamNotice { limit: NamedLimit::Absent, is_leaving: true });
+    run.handle_at(NOW, Input::UpstreamDone { call: CallKey::default(), result, notice });
+    assert_eq!(dispatched_in(&run.receive_call_at(NOW, DEADLINE)).len(), 1);
+}
