--- a/crates/poplartrail-node/src/adapters/server/connection.rs
+++ b/crates/poplartrail-node/src/adapters/server/connection.rs
@@ -24,8 +24,8 @@
 
 use crate::adapters::{
     server::{
-        Handler, HttpRequest, HttpResponse, ServerOptions, lingering::LingeringConnection,
-        parser::RequestParser, room::ConnectionPlace,
+        Handler, HttpRequest, HttpResponse, ServerOptions, connection_table::ConnectionEntry,
+        lingering::LingeringConnection, parser::RequestParser,
     },
     unsent::{UnsentOnConnection, UnsentReply},
 };
@@ -54,7 +54,7 @@
 pub(crate) struct Connection<H> {
     rx: OwnedReadHalf,
     tx: OwnedWriteHalf,
-    place: ConnectionPlace,
+    entry: ConnectionEntry,
     handler: H,
     limits: watch::Receiver<CallerLimits>,
     shutting_down: watch::Receiver<bool>,
@@ -83,7 +83,7 @@
     TimedOut,
     /// The process has been asked to stop, and the connection is idle.
     Stopping,
-    /// The connection is idle, and another one needs its place.
+    /// The connection is idle and is evicted for a new one.
     Evicted,
 }
 
@@ -104,7 +104,7 @@
 impl<H: Handler> Connection<H> {
     pub(crate) fn new(
         stream: TcpStream,
-        place: ConnectionPlace,
+        entry: ConnectionEntry,
         handler: H,
         options: ServerOptions,
     ) -> Self {
@@ -114,7 +114,7 @@
         Self {
             rx,
             tx,
-            place,
+            entry,
             handler,
             limits,
             shutting_down,
@@ -153,12 +153,12 @@
                 }
                 ConnectionEvent::TimedOut => self.handle_timeout().await,
                 ConnectionEvent::Stopping => self.close_idle(),
-                ConnectionEvent::Evicted => self.make_room().await,
+                ConnectionEvent::Evicted => self.evict().await,
             };
             match next_step {
                 NextStep::Serve => {}
                 NextStep::Linger(unsent) => {
-                    let (lingering, _place) = self.into_lingering(unsent);
+                    let (lingering, _entry) = self.into_lingering(unsent);
                     let is_closed = lingering.close().await;
                     return record_closed(if is_closed { "node" } else { "overdue" });
                 }
@@ -169,9 +169,9 @@
         }
     }
 
-    /// Drops all that the connection holds but its socket and its place.
-    fn into_lingering(self, unsent: UnsentReply) -> (LingeringConnection, ConnectionPlace) {
-        (LingeringConnection::new(self.rx, self.tx, unsent), self.place)
+    /// Drops all that the connection holds but its socket and its entry.
+    fn into_lingering(self, unsent: UnsentReply) -> (LingeringConnection, ConnectionEntry) {
+        (LingeringConnection::new(self.rx, self.tx, unsent), self.entry)
     }
 
     async fn next_event(&mut self) -> ConnectionEvent {
@@ -179,7 +179,7 @@
         let may_read = self.buf.len() < MAX_BUFFERED_BYTES;
         let is_quiet = self.is_quiet();
         let may_close = self.has_pipelined && is_quiet;
-        self.place.set_idle(is_quiet, self.wait_start);
+        self.entry.set_idle(is_quiet, self.wait_start);
         self.buf.reserve(READ_BUFFER_BYTES);
         tokio::select! {
             Some(completed) = self.in_progress.next(), if !self.in_progress.is_empty() => {
@@ -190,7 +190,7 @@
             Ok(_) = self.shutting_down.wait_for(|is_stopping| *is_stopping), if may_close => {
                 ConnectionEvent::Stopping
             }
-            () = self.place.evicted(), if is_quiet => ConnectionEvent::Evicted,
+            () = self.entry.evicted(), if is_quiet => ConnectionEvent::Evicted,
         }
     }
 
@@ -363,7 +363,7 @@
     }
 
     /// Ends an idle connection, unless a request has arrived meanwhile.
-    async fn make_room(&mut self) -> NextStep {
+    async fn evict(&mut self) -> NextStep {
         self.buf.reserve(READ_BUFFER_BYTES);
         match self.rx.try_read_buf(&mut self.buf) {
             Ok(1..) => {
--- a/crates/poplartrail-node/src/adapters/server/refusal.rs
+++ b/crates/poplartrail-node/src/adapters/server/refusal.rs
@@ -1,4 +1,4 @@
-//! Refusal of a connection for which there is no room.
+//! Refusal of connections beyond the bound.
 
 use std::{sync::Arc, time::Duration};
 
@@ -24,7 +24,7 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size of the buffer for these bytes.
 const BUFFER_BYTES: usize = 4 << 10;
-/// Seconds after which a connection may find room: most requests end within that time.
+/// Seconds after which a connection may be admitted: most requests end within that time.
 const RETRY_AFTER: HeaderValue = HeaderValue::from_static("1");
 
 /// Refuses connections with the answer that nothing has run.
@@ -65,7 +65,7 @@
     response.headers.insert(header::RETRY_AFTER, RETRY_AFTER);
     let HttpResponse { status, headers, body } = response;
     let message = encode_response(status, &headers, body, false, true);
-    // The response is a few hundred bytes long, for which an empty socket has room.
+    // The response is a few hundred bytes long, which an empty send buffer takes at once.
     if tx.write_all(message.chunk_at(0)).await.is_ok() {
         LingeringConnection::new(rx, tx, unsent).close().await;
     }
--- a/crates/poplartrail-node/src/adapters/server/run.rs
+++ b/crates/poplartrail-node/src/adapters/server/run.rs
@@ -12,7 +12,9 @@
 };
 
 use crate::adapters::{
-    server::{Handler, connection::Connection, refusal::Refuser, room::ConnectionRoom},
+    server::{
+        Handler, connection::Connection, connection_table::ConnectionTable, refusal::Refuser,
+    },
     unsent::UnsentReplies,
 };
 
@@ -51,7 +53,7 @@
             std::process::exit(1);
         }
     };
-    let room = ConnectionRoom::new(options.max_connections);
+    let table = ConnectionTable::new(options.max_connections);
     let refuser = Refuser::new(options.unsent.clone());
     loop {
         let stream = match listener.accept().await {
@@ -67,9 +69,9 @@
             spdlog::debug!("connection lost before it was served: {err}");
             continue;
         }
-        match room.enter() {
-            Some(place) => {
-                let connection = Connection::new(stream, place, handler.clone(), options.clone());
+        match table.admit() {
+            Some(entry) => {
+                let connection = Connection::new(stream, entry, handler.clone(), options.clone());
                 tokio::spawn(connection.serve());
             }
             None => refuser.refuse(stream),
--- a/crates/poplartrail-node/src/adapters/store/announce.rs
+++ b/crates/poplartrail-node/src/adapters/store/announce.rs
@@ -50,7 +50,7 @@
                 Err(StoreError::Refused(StatusCode::CONFLICT)) => epoch += EPOCH_STEP_MS,
                 Err(err) => {
                     if matches!(err, StoreError::Unanswered(_)) {
-                        health.record_doubt();
+                        health.record_disruption();
                     }
                     spdlog::warn!("cannot announce this node in the store: {err}");
                     sleep(backoff.record_failure()).await;
--- a/crates/poplartrail-node/src/adapters/store/follow.rs
+++ b/crates/poplartrail-node/src/adapters/store/follow.rs
@@ -131,7 +131,7 @@
             return false;
         }
         // The long poll of another client may not show it for half a minute.
-        self.health.record_doubt();
+        self.health.record_disruption();
         let topic = self.topic.name();
         counter!("poplartrail_store_restores_total", "topic" => topic).increment(1);
         spdlog::warn!(
@@ -150,7 +150,7 @@
     }
 
     /// Lets the next read return the newest record of each key.
-    fn read_anew(&mut self) {
+    fn restart_from_newest(&mut self) {
         self.next_offset = None;
         self.is_restored = true;
     }
@@ -176,13 +176,13 @@
             result = self.client.call(&call, wait + READ_TIMEOUT) => result,
             // The store may have lost the response to this call too. Dropping the call closes its
             // connection.
-            () = self.health.await_doubt(), if !self.is_suspect => {
+            () = self.health.await_disruption(), if !self.is_suspect => {
                 self.is_suspect = true;
                 return Ok(false);
             }
         };
         if self.enters_new_era() {
-            self.read_anew();
+            self.restart_from_newest();
             return Ok(false);
         }
         let body = match result {
@@ -191,7 +191,7 @@
                     "the store has dropped records of {}: reading the newest of each key",
                     self.topic.name()
                 );
-                self.read_anew();
+                self.restart_from_newest();
                 return Ok(false);
             }
             result => result?,
@@ -240,7 +240,7 @@
             .increment(1);
         if matches!(err, StoreError::Unanswered(_)) {
             self.is_suspect = true;
-            self.health.record_doubt();
+            self.health.record_disruption();
         }
         if self.backoff.failures() == 0 {
             spdlog::warn!("{} cannot be read: {err}", self.topic.name());
--- a/crates/poplartrail-node/src/adapters/store/store_health.rs
+++ b/crates/poplartrail-node/src/adapters/store/store_health.rs
@@ -2,7 +2,7 @@
 
 use tokio::sync::watch;
 
-/// Number of nodes that share the store, and doubts of its clients about it: a call without a
+/// Number of nodes that share the store, and disruptions that its clients have noticed: a call without a
 /// response, or a new era.
 ///
 /// A fault often takes the responses to all calls of a node. A long poll does not show that, so its
@@ -10,14 +10,14 @@
 #[derive(Debug)]
 pub(crate) struct StoreHealth {
     nodes: watch::Sender<usize>,
-    doubts: watch::Sender<u64>,
+    disruptions: watch::Sender<u64>,
     seen: watch::Receiver<u64>,
 }
 
 impl StoreHealth {
     pub(crate) fn new() -> Self {
-        let (doubts, seen) = watch::channel(0);
-        Self { nodes: watch::Sender::new(0), doubts, seen }
+        let (disruptions, seen) = watch::channel(0);
+        Self { nodes: watch::Sender::new(0), disruptions, seen }
     }
 
     /// Returns the number of nodes that have announced themselves.
@@ -29,14 +29,14 @@
         self.nodes.send_replace(nodes);
     }
 
-    /// Records a doubt, which the other clients learn of.
-    pub(crate) fn record_doubt(&mut self) {
-        self.doubts.send_modify(|count| *count += 1);
+    /// Records a disruption, which the other clients learn of.
+    pub(crate) fn record_disruption(&mut self) {
+        self.disruptions.send_modify(|count| *count += 1);
         self.seen.mark_unchanged();
     }
 
-    /// Waits until another client has recorded a doubt since the last wait.
-    pub(crate) async fn await_doubt(&mut self) {
+    /// Waits until another client has recorded a disruption since the last wait.
+    pub(crate) async fn await_disruption(&mut self) {
         // Never fails, because `self` holds a sender.
         let _is_closed = self.seen.changed().await.is_err();
     }
@@ -46,8 +46,8 @@
     fn clone(&self) -> Self {
         Self {
             nodes: self.nodes.clone(),
-            doubts: self.doubts.clone(),
-            seen: self.doubts.subscribe(),
+            disruptions: self.disruptions.clone(),
+            seen: self.disruptions.subscribe(),
         }
     }
 }
--- a/crates/poplartrail-node/tests/full_door.rs
+++ b/crates/poplartrail-node/tests/idle_eviction.rs
@@ -41,7 +41,7 @@
 }
 
 #[test]
-fn idle_connections_make_room() {
+fn longest_idle_connection_is_closed() {
     let (_store, _instance, node) = HostedNode::start_single_with(SITE, LIMITS);
     let mut idle = fill(&node);
     // The first one is used again, so that the second has been idle longest.
